--- /dev/null
+++ b/benchlink/src/main.rs
@@ -0,0 +1,487 @@
+//! Speaks the bench's wire for any number of planners: decodes each line, maps ids to small indices,
+//! calls the planner's method for that event, and writes its calls back. It decides nothing.
+use basaltpitch::host::{Given, Host, Outcome, Readiness, Value as Setting};
+use basaltpitch::logic::Planner;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, Write};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+/// Ids of one sort and the small indices they were given; freed indices are handed out again.
+#[derive(Default)]
+struct Door<K> {
+    index: HashMap<K, usize>,
+    ids: Vec<K>,
+    free: Vec<usize>,
+}
+
+impl<K: Clone + Eq + std::hash::Hash> Door<K> {
+    fn enter(&mut self, id: K) -> usize {
+        if let Some(&at) = self.index.get(&id) {
+            return at;
+        }
+        let at = self.free.pop().unwrap_or(self.ids.len());
+        if at == self.ids.len() {
+            self.ids.push(id.clone());
+        } else {
+            self.ids[at] = id.clone();
+        }
+        self.index.insert(id, at);
+        at
+    }
+
+    fn leave(&mut self, at: usize) {
+        if self.index.remove(&self.ids[at]).is_some() {
+            self.free.push(at);
+        }
+    }
+}
+
+/// One planner's side of the wire: its ids, and the lines it wants written.
+struct Line {
+    who: u64,
+    text: String,
+    tasks: Door<String>,
+    machines: Door<String>,
+    services: Door<u64>,
+    /// Per task: launches without an outcome, and whether it has had its final answer.
+    out: Vec<u32>,
+    over: Vec<bool>,
+    names: HashMap<&'static str, Vec<String>>,
+}
+
+impl Line {
+    fn put(&mut self, action: &str) {
+        let _ = write!(self.text, "{{\"type\":\"{action}\",\"who\":{}", self.who);
+    }
+
+    fn for_task(&mut self, action: &str, task: usize) {
+        self.put(action);
+        let _ = write!(self.text, ",\"opId\":\"{}\"", self.tasks.ids[task]);
+    }
+
+    fn for_machine(&mut self, machine: usize) {
+        let name = Value::from(self.machines.ids[machine].as_str());
+        let _ = write!(self.text, ",\"machine\":{name}");
+    }
+
+    fn with_text(&mut self, action: &str, text: &str) {
+        self.put(action);
+        let _ = writeln!(self.text, ",\"bodyText\":{}}}", Value::from(text));
+    }
+
+    fn enter_task(&mut self, id: String, out: u32) -> usize {
+        let at = self.tasks.enter(id);
+        if at >= self.out.len() {
+            self.out.resize(at + 1, 0);
+            self.over.resize(at + 1, false);
+        }
+        self.out[at] = out;
+        self.over[at] = false;
+        at
+    }
+
+    /// Marks the final answer, and frees the index where no launch is out any more.
+    fn close(&mut self, task: usize) {
+        self.over[task] = true;
+        if self.out[task] == 0 {
+            self.tasks.leave(task);
+        }
+    }
+
+    fn name_index(&self, list: &str, name: &str) -> Option<usize> {
+        self.names.get(list)?.iter().position(|n| n == name)
+    }
+}
+
+impl Host for Line {
+    fn launch(&mut self, task: usize, machine: usize, time_out_us: i64) {
+        self.out[task] += 1;
+        self.for_task("put", task);
+        self.for_machine(machine);
+        let _ = writeln!(self.text, ",\"capUs\":{time_out_us}}}");
+    }
+
+    fn cancel(&mut self, task: usize, launch: u32) {
+        self.for_task("cancel", task);
+        let _ = writeln!(self.text, ",\"sendNo\":{launch}}}");
+    }
+
+    fn decline(&mut self, task: usize, retry_after_us: i64) {
+        self.for_task("deny", task);
+        let _ = writeln!(self.text, ",\"comeBackUs\":{retry_after_us}}}");
+        self.close(task);
+    }
+
+    fn abort(&mut self, task: usize) {
+        self.for_task("lose", task);
+        self.text.push_str("}\n");
+        self.close(task);
+    }
+
+    fn move_task(&mut self, task: usize) {
+        self.for_task("reassign", task);
+        self.text.push_str("}\n");
+        self.close(task);
+    }
+
+    fn probe(&mut self, machine: usize) {
+        self.put("test");
+        self.for_machine(machine);
+        self.text.push_str("}\n");
+    }
+
+    fn watch(&mut self, on: bool) {
+        self.put("follow");
+        let _ = writeln!(self.text, ",\"on\":{on}}}");
+    }
+
+    fn fetch(&mut self) {
+        self.put("resolve");
+        self.text.push_str("}\n");
+    }
+
+    fn timer(&mut self, after_us: i64, token: u64) {
+        self.put("setAlarm");
+        let _ = writeln!(self.text, ",\"fromNowUs\":{after_us},\"ref\":{token}}}");
+    }
+
+    fn log(&mut self, text: &str) {
+        self.with_text("print", text);
+    }
+}
+
+/// One field of one message, read as its type or reported as missing or mistyped.
+struct Fields<'a>(&'a Value);
+
+impl Fields<'_> {
+    fn get<T>(&self, name: &str, read: impl Fn(&Value) -> Option<T>) -> Result<T, String> {
+        self.opt(name, read)?
+            .ok_or_else(|| format!("field '{name}' is missing"))
+    }
+
+    fn opt<T>(&self, name: &str, read: impl Fn(&Value) -> Option<T>) -> Result<Option<T>, String> {
+        match self.0.get(name) {
+            None | Some(Value::Null) => Ok(None),
+            Some(v) => read(v)
+                .map(Some)
+                .ok_or_else(|| format!("field '{name}' is of the wrong type")),
+        }
+    }
+
+    fn whole(&self, name: &str) -> Result<i64, String> {
+        self.get(name, Value::as_i64)
+    }
+
+    fn number(&self, name: &str) -> Result<f64, String> {
+        self.get(name, Value::as_f64)
+    }
+
+    fn text(&self, name: &str) -> Result<String, String> {
+        self.get(name, |v| v.as_str().map(str::to_owned))
+    }
+
+    fn mark(&self, name: &str) -> Result<bool, String> {
+        Ok(self.opt(name, Value::as_bool)?.unwrap_or(false))
+    }
+
+    /// The place of a name in a list of the settings; `None` where the field is absent or 0.
+    fn name_of(&self, field: &str, list: &str, line: &Line) -> Result<Option<usize>, String> {
+        if self.0.get(field).and_then(Value::as_i64) == Some(0) {
+            return Ok(None);
+        }
+        match self.opt(field, |v| v.as_str().map(str::to_owned))? {
+            None => Ok(None),
+            Some(name) => line
+                .name_index(list, &name)
+                .map(Some)
+                .ok_or_else(|| format!("field '{field}' names nothing in the settings")),
+        }
+    }
+
+    fn name_index(&self, field: &str, list: &str, line: &Line) -> Result<usize, String> {
+        self.name_of(field, list, line)?
+            .ok_or_else(|| format!("field '{field}' is missing"))
+    }
+
+    fn report(&self) -> Result<Vec<f64>, String> {
+        let row = self.opt("gauge", |v| v.as_array()?.iter().map(Value::as_f64).collect())?;
+        Ok(row.unwrap_or_default())
+    }
+
+    fn outcome(&self) -> Result<Outcome, String> {
+        Ok(match self.whole("verdict")? {
+            0 => Outcome::Ended,
+            5 => Outcome::Error,
+            11 => Outcome::Full,
+            110 => Outcome::TimedOut,
+            111 => Outcome::ConnectFailed,
+            104 => Outcome::Reset,
+            125 => Outcome::Cancelled,
+            114 => Outcome::Moot,
+            _ => return Err("field 'verdict' is none of the known outcomes".into()),
+        })
+    }
+}
+
+/// Lays the settings out under dotted names: objects by key, lists by position.
+fn lay_out(name: &str, value: &Value, given: &mut Given) {
+    let under = |key: &str| {
+        if name.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{name}.{key}")
+        }
+    };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(k, v)| lay_out(&under(k), v, given)),
+        Value::Array(items) => items
+            .iter()
+            .enumerate()
+            .for_each(|(i, v)| lay_out(&under(&i.to_string()), v, given)),
+        Value::Number(n) => {
+            given.insert(name.into(), Setting::Number(n.as_f64().unwrap_or(0.0)));
+        }
+        Value::Bool(b) => {
+            given.insert(name.into(), Setting::Number(f64::from(u8::from(*b))));
+        }
+        Value::String(s) => {
+            given.insert(name.into(), Setting::Text(s.clone()));
+        }
+        Value::Null => {}
+    }
+}
+
+fn names(config: &Value, list: &str) -> Vec<String> {
+    let items = config
+        .get(list)
+        .and_then(Value::as_array)
+        .cloned()
+        .unwrap_or_default();
+    let name = |v: &Value| {
+        v.as_str()
+            .or_else(|| v.get("name")?.as_str())
+            .unwrap_or("")
+            .to_owned()
+    };
+    items.iter().map(name).collect()
+}
+
+#[derive(Default)]
+struct Wire {
+    now: i64,
+    planners: HashMap<u64, Planner<Line>>,
+    sheets: HashMap<i64, Vec<Value>>,
+    reply: String,
+}
+
+impl Wire {
+    /// Handles one line; true once the batch is complete and the reply is ready.
+    fn read(&mut self, line: &str) -> Result<bool, String> {
+        let message: Value = serde_json::from_str(line).map_err(|e| format!("not JSON: {e}"))?;
+        let f = Fields(&message);
+        let kind = f.text("type")?;
+        let named = |e: String| format!("message '{kind}': {e}");
+        match kind.as_str() {
+            "sync" => self.now = f.whole("wallUs").map_err(named)?,
+            "flush" => return Ok(true),
+            "sheet" => {
+                let entries = f.get("entries", |v| v.as_array().cloned()).map_err(named)?;
+                self.sheets.insert(f.whole("sheet").map_err(named)?, entries);
+            }
+            _ => {
+                let who = f.get("who", Value::as_u64).map_err(named)?;
+                self.event(&kind, who, &f).map_err(named)?;
+            }
+        }
+        Ok(false)
+    }
+
+    fn event(&mut self, kind: &str, who: u64, f: &Fields) -> Result<(), String> {
+        if kind == "configure" {
+            let config = f.get("config", |v| v.is_object().then(|| v.clone()))?;
+            let mut given = Given::new();
+            lay_out("", &config, &mut given);
+            let mut line = Line {
+                who,
+                text: String::new(),
+                tasks: Door::default(),
+                machines: Door::default(),
+                services: Door::default(),
+                out: Vec::new(),
+                over: Vec::new(),
+                names: HashMap::new(),
+            };
+            for list in ["classes", "tenants", "localities", "machineTypes"] {
+                line.names.insert(list, names(&config, list));
+            }
+            let seed = f.get("salt", |v| v.as_u64().or_else(|| v.as_i64().map(|n| n as u64)))?;
+            let mut planner = Planner::new(line, seed, self.now, given);
+            self.reply.push_str(&std::mem::take(&mut planner.host.text));
+            self.planners.insert(who, planner);
+            return Ok(());
+        }
+        if kind == "crashNow" {
+            self.planners
+                .remove(&who)
+                .map(drop)
+                .ok_or("instance was never configured")?;
+            return Ok(());
+        }
+        let planner = self
+            .planners
+            .get_mut(&who)
+            .ok_or("instance was never configured")?;
+        let (now, sheets) = (self.now, &self.sheets);
+        match catch_unwind(AssertUnwindSafe(|| hand_over(planner, now, sheets, kind, f))) {
+            Ok(result) => result?,
+            Err(cause) => {
+                let text = cause.downcast_ref::<String>().cloned();
+                let text = text.or_else(|| cause.downcast_ref::<&str>().map(|s| (*s).to_owned()));
+                planner
+                    .host
+                    .with_text("giveIn", &text.unwrap_or_else(|| "panic".into()));
+            }
+        }
+        self.reply.push_str(&std::mem::take(&mut planner.host.text));
+        Ok(())
+    }
+}
+
+/// Calls the planner's method for one event with the decoded fields.
+fn hand_over(
+    p: &mut Planner<Line>,
+    now: i64,
+    sheets: &HashMap<i64, Vec<Value>>,
+    kind: &str,
+    f: &Fields,
+) -> Result<(), String> {
+    match kind {
+        "membership" => {
+            let how = f.text("how")?;
+            if how == "lost" {
+                p.list_lost(now);
+                return Ok(());
+            }
+            let sheet = sheets
+                .get(&f.whole("sheet")?)
+                .ok_or("field 'sheet' names no list")?;
+            match how.as_str() {
+                "incr" => p.list_begins(now, false, true),
+                "total" => p.list_begins(now, true, true),
+                "warm_copy" => p.list_begins(now, true, false),
+                _ => return Err("field 'how' is none of the known kinds".into()),
+            }
+            for entry in sheet {
+                let e = Fields(entry);
+                let readiness = match e.text("readiness")?.as_str() {
+                    "ready" => Readiness::Ready,
+                    "draining" => Readiness::Draining,
+                    "gone" => Readiness::Gone,
+                    _ => return Err("field 'readiness' is none of the known states".into()),
+                };
+                let machine = p.host.machines.enter(e.text("machine")?);
+                let zone = e.name_of("az", "localities", &p.host)?.unwrap_or(0);
+                p.machine_listed(
+                    now,
+                    machine,
+                    e.name_index("model", "machineTypes", &p.host)?,
+                    zone,
+                    e.opt("bay", Value::as_u64)?.unwrap_or(0) as usize,
+                    readiness,
+                    e.opt("startedAtUs", Value::as_i64)?.unwrap_or(0),
+                    e.opt("cpuLeft", Value::as_f64)?.unwrap_or(0.0),
+                    e.opt("memLeft", Value::as_f64)?.unwrap_or(0.0),
+                );
+            }
+            p.list_ends(now);
+        }
+        "wanted" | "found" => {
+            let framework = f.name_index("priority", "classes", &p.host)?;
+            let tenant = f.name_of("account", "tenants", &p.host)?;
+            let service = f.get("deployment", Value::as_u64)?;
+            let (cores, memory) = (f.number("cpuAsk")?, f.number("memory")?);
+            let time_left = f.whole("expiresInUs")?;
+            let id = f.text("opId")?;
+            let service = p.host.services.enter(service);
+            if kind == "wanted" {
+                let task = p.host.enter_task(id, 0);
+                p.wanted(now, task, framework, tenant, service, cores, memory, time_left);
+            } else {
+                let machine = p.host.machines.enter(f.text("machine")?);
+                let task = p.host.enter_task(id, 1);
+                p.found(now, task, framework, tenant, service, cores, memory, machine);
+            }
+        }
+        "expired" => {
+            if let Some(&task) = p.host.tasks.index.get(&f.text("opId")?) {
+                p.expired(now, task);
+                p.host.close(task);
+            }
+        }
+        "accepted" | "interim" | "resolved" => {
+            let task = *p
+                .host
+                .tasks
+                .index
+                .get(&f.text("opId")?)
+                .ok_or("field 'opId' names no open task")?;
+            let launch = f.whole("sendNo")? as u32;
+            match kind {
+                "accepted" => p.accepted(now, task, launch),
+                "interim" => p.noted(now, task, f.whole("sort")?, f.number("level")?),
+                _ => {
+                    let over = f.mark("noMore")?;
+                    let why = f.opt("info", Value::as_i64)?.unwrap_or(0);
+                    let (outcome, report) = (f.outcome()?, f.report()?);
+                    p.host.out[task] = p.host.out[task].saturating_sub(1);
+                    p.resolved(now, task, outcome, why, over, &report);
+                    if over || p.host.over[task] {
+                        p.host.close(task);
+                    }
+                }
+            }
+        }
+        "elapsed" => p.timer_due(now, f.get("ref", Value::as_u64)?),
+        "checked" => {
+            let machine = p.host.machines.enter(f.text("machine")?);
+            p.probed(now, machine, f.outcome()?, &f.report()?);
+        }
+        "memo" => {}
+        _ => return Err("unknown message type".into()),
+    }
+    Ok(())
+}
+
+fn main() {
+    std::panic::set_hook(Box::new(|_| {}));
+    let mut wire = Wire::default();
+    let mut out = std::io::stdout().lock();
+    for (count, line) in std::io::stdin().lock().lines().enumerate() {
+        let done = line.map_err(|e| e.to_string()).and_then(|text| {
+            if text.trim().is_empty() {
+                return Ok(false);
+            }
+            wire.read(&text)
+        });
+        match done {
+            Ok(false) => {}
+            Ok(true) => {
+                wire.reply.push_str("{\"type\":\"finished\"}\n");
+                if out
+                    .write_all(wire.reply.as_bytes())
+                    .and_then(|()| out.flush())
+                    .is_err()
+                {
+                    std::process::exit(1);
+                }
+                wire.reply.clear();
+            }
+            Err(text) => {
+                eprintln!("line {}: {text}", count + 1);
+                std::process::exit(2);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,64 @@
+//! What the decision module is called with and what it calls: the `Host` trait and plain types.
+//! Tasks, machines, services, frameworks, tenants, kinds and zones are small indices that the caller
+//! hands out; all times are whole microseconds.
+use std::collections::BTreeMap;
+
+/// The settings of a planner under their dotted names, such as `rules.coldUs` or `classes.0.name`.
+pub type Given = BTreeMap<String, Value>;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    Number(f64),
+    Text(String),
+}
+
+/// The number under `name`; a mark that is set reads as 1. `None` where it is absent or a text.
+pub fn number(given: &Given, name: &str) -> Option<f64> {
+    match given.get(name) {
+        Some(Value::Number(n)) => Some(*n),
+        _ => None,
+    }
+}
+
+/// The text under `name`, empty where there is none.
+pub fn text<'a>(given: &'a Given, name: &str) -> &'a str {
+    match given.get(name) {
+        Some(Value::Text(t)) => t,
+        _ => "",
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ended,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Readiness {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// What the planner can do. Each call takes effect at the time of the event being handled.
+pub trait Host {
+    /// Offers the task to the machine; launches of a task count 0, 1, 2 ...
+    fn launch(&mut self, task: usize, machine: usize, time_out_us: i64);
+    fn cancel(&mut self, task: usize, launch: u32);
+    fn decline(&mut self, task: usize, retry_after_us: i64);
+    fn abort(&mut self, task: usize);
+    /// Stops a placed task, so that its owner asks again.
+    fn move_task(&mut self, task: usize);
+    fn probe(&mut self, machine: usize);
+    fn watch(&mut self, on: bool);
+    fn fetch(&mut self);
+    fn timer(&mut self, after_us: i64, token: u64);
+    fn log(&mut self, text: &str);
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,856 @@
+//! Every decision of basaltpitch. One `Planner` is one scheduler; it shares nothing with another.
+//!
+//! A caller (today `benchlink`, later the placing service) makes it with the settings, a seed and a
+//! `Host`, then calls one method for each thing that happens: list, task, launch, note, probe, timer.
+//! The planner acts by calling the host at once. The interface is in `host.rs`; `docs/design.md` says
+//! what is kept of the paper's design and when each exception acts.
+#![allow(clippy::too_many_arguments)]
+use crate::host::{number, text, Given, Host, Outcome, Readiness};
+use std::collections::VecDeque;
+
+/// Confidence 99%: the standard normal quantile (the paper's D; DESIGN runs 99.9% and 99%).
+const D: f64 = 2.326;
+/// Share of a machine's cores that the mean plus margin may fill, and of its memory (DESIGN's defaults).
+const HEADROOM: f64 = 0.8;
+const MEMORY_SHARE: f64 = 0.85;
+/// Machines whose UCaC is within this many cores of the best are drawn from at random (DESIGN's default).
+const TIE: f64 = 0.5;
+/// A report is taken to contain a task that had run this long when it came; reports are late and rare.
+const REPORT_LAG: i64 = 1_500_000;
+const VIEW_LAG: i64 = 3_000_000;
+const TICK: i64 = 100_000;
+const PROBE_EVERY: i64 = 1_000_000;
+
+#[derive(Clone, Copy, Default, PartialEq)]
+enum Phase {
+    #[default]
+    Over,
+    Waiting,
+    Out,
+    Placed,
+}
+
+#[derive(Default)]
+struct Task {
+    stamp: u64,
+    phase: Phase,
+    framework: usize,
+    tenant: Option<usize>,
+    service: usize,
+    cores: f64,
+    memory: f64,
+    born_at: i64,
+    limit_at: i64,
+    machine: usize,
+    launches: u32,
+    sent_at: i64,
+    ran_at: i64,
+    expected_us: f64,
+    lone: bool,
+    warm: bool,
+    /// The first launch that may have run: its machine and when it was sent.
+    unsure: Option<(usize, i64)>,
+    tried: Vec<usize>,
+}
+
+/// Figures of machines, in parallel arrays under the machine's index.
+#[derive(Default)]
+struct Machines {
+    listed: Vec<bool>,
+    kind: Vec<usize>,
+    zone: Vec<usize>,
+    cell: Vec<usize>,
+    started: Vec<i64>,
+    cores: Vec<f64>,
+    memory: Vec<f64>,
+    used_cores: Vec<f64>,
+    used_memory: Vec<f64>,
+    report_at: Vec<i64>,
+    view_cores: Vec<f64>,
+    view_memory: Vec<f64>,
+    view_at: Vec<i64>,
+    held: Vec<Vec<usize>>,
+    kept: Vec<VecDeque<usize>>,
+    sends: Vec<VecDeque<i64>>,
+    cold_until: Vec<i64>,
+    ailing: Vec<f64>,
+    shun_until: Vec<i64>,
+    silent: Vec<bool>,
+    full_until: Vec<i64>,
+    full_cores: Vec<f64>,
+    pressed_until: Vec<i64>,
+    probed_at: Vec<i64>,
+    slow: Vec<f64>,
+}
+
+pub struct Planner<H: Host> {
+    pub host: H,
+    given: Given,
+    chance: fastrand::Rng,
+    born_at: i64,
+    stamp: u64,
+    tasks: Vec<Task>,
+    waiting: Vec<usize>,
+    // The list: whether the last call for it failed, when it was last heard, when to ask again.
+    heard_at: i64,
+    list_due: i64,
+    list_fails: u32,
+    subscribed: bool,
+    seen: Vec<bool>,
+    // Services: mean and variance of one task's used cores, and how many notes they rest on.
+    mean: Vec<f64>,
+    variance: Vec<f64>,
+    notes: Vec<f64>,
+    // Frameworks: share of the ask that tasks use (mean, variance), time to start and to be accepted.
+    use_mean: Vec<f64>,
+    use_variance: Vec<f64>,
+    use_notes: Vec<f64>,
+    warm_us: Vec<f64>,
+    cold_us: Vec<f64>,
+    answer_us: Vec<f64>,
+    mac: Machines,
+}
+
+impl<H: Host> Planner<H> {
+    pub fn new(host: H, seed: u64, now: i64, given: Given) -> Self {
+        let frameworks = (0..)
+            .take_while(|i| !text(&given, &format!("classes.{i}.name")).is_empty())
+            .count();
+        let goal = |i: usize| number(&given, &format!("classes.{i}.objectiveUs")).unwrap_or(0.0);
+        let per = |share: f64| (0..frameworks).map(|i| goal(i) * share).collect::<Vec<f64>>();
+        let (warm_us, cold_us, answer_us) = (per(0.25), per(1.5), per(0.25));
+        let mut planner = Planner {
+            host,
+            given,
+            chance: fastrand::Rng::with_seed(seed),
+            born_at: now,
+            stamp: 0,
+            tasks: Vec::new(),
+            waiting: Vec::new(),
+            heard_at: now,
+            list_due: i64::MAX,
+            list_fails: 0,
+            subscribed: false,
+            seen: Vec::new(),
+            mean: Vec::new(),
+            variance: Vec::new(),
+            notes: Vec::new(),
+            use_mean: vec![1.0; frameworks],
+            use_variance: vec![0.25; frameworks],
+            use_notes: vec![0.0; frameworks],
+            warm_us,
+            cold_us,
+            answer_us,
+            mac: Machines::default(),
+        };
+        if text(&planner.given, "discovery") == "ask" {
+            planner.ask_for_list(now);
+        }
+        planner.host.timer(TICK, 0);
+        planner
+    }
+
+    // ---- the list ----
+
+    /// Entries follow, then `list_ends`. A whole list names every machine; only a fresh one counts as heard.
+    pub fn list_begins(&mut self, now: i64, whole: bool, fresh: bool) {
+        self.seen = vec![!whole; self.mac.listed.len()];
+        if fresh {
+            self.heard_at = now;
+            self.list_fails = 0;
+            if self.list_due != i64::MAX {
+                self.subscribed = true;
+                self.list_due = i64::MAX;
+            }
+        }
+    }
+
+    pub fn machine_listed(
+        &mut self,
+        now: i64,
+        m: usize,
+        kind: usize,
+        zone: usize,
+        cell: usize,
+        readiness: Readiness,
+        started: i64,
+        cores_left: f64,
+        memory_left: f64,
+    ) {
+        self.know_machine(m);
+        if m >= self.seen.len() {
+            self.seen.resize(m + 1, true);
+        }
+        self.seen[m] = true;
+        self.mac.listed[m] = readiness == Readiness::Ready;
+        (self.mac.kind[m], self.mac.zone[m], self.mac.cell[m]) = (kind, zone, cell);
+        self.mac.cores[m] = self.rule(&format!("familyInfo.cpuOfKind.{kind}"));
+        self.mac.memory[m] = self.rule(&format!("familyInfo.sizeMemory.{kind}"));
+        self.mac.view_cores[m] = cores_left;
+        self.mac.view_memory[m] = memory_left;
+        self.mac.view_at[m] = now;
+        if started > self.mac.started[m] {
+            // A newer start: a cold machine with empty hands.
+            self.mac.started[m] = started;
+            self.mac.report_at[m] = 0;
+            self.mac.kept[m].clear();
+            (self.mac.ailing[m], self.mac.shun_until[m], self.mac.silent[m]) = (0.0, 0, false);
+            self.mac.cold_until[m] = self.mac.cold_until[m].max(started + self.rule("rules.coldUs") as i64);
+        }
+    }
+
+    pub fn list_ends(&mut self, now: i64) {
+        for m in 0..self.mac.listed.len() {
+            self.mac.listed[m] &= self.seen[m];
+        }
+        self.probe_round(now);
+        self.serve_waiting(now);
+    }
+
+    /// A watch or fetch failed, or the watch dropped; which is not told, so ask anew, later each time.
+    pub fn list_lost(&mut self, now: i64) {
+        self.subscribed = false;
+        self.list_fails += 1;
+        let wait = 200_000 << self.list_fails.min(4);
+        self.list_due = now + self.chance.i64(wait / 2..wait);
+    }
+
+    fn ask_for_list(&mut self, now: i64) {
+        self.host.watch(true);
+        self.list_due = now + 5_000_000;
+    }
+
+    /// Whether the list can be relied on for drains: a planner that has not asked for long counts as told.
+    fn list_holds(&self, now: i64) -> bool {
+        text(&self.given, "discovery") != "ask"
+            || self.subscribed
+            || now < self.heard_at + self.rule("rules.askEveryUs") as i64
+    }
+
+    // ---- a task ----
+
+    pub fn wanted(
+        &mut self,
+        now: i64,
+        task: usize,
+        framework: usize,
+        tenant: Option<usize>,
+        service: usize,
+        cores: f64,
+        memory: f64,
+        time_left: i64,
+    ) {
+        let (phase, limit_at, born_at) = (Phase::Waiting, now + time_left, now);
+        let fresh = Task {
+            phase,
+            framework,
+            tenant,
+            service,
+            cores,
+            memory,
+            born_at,
+            limit_at,
+            ..Task::default()
+        };
+        self.enter(task, fresh);
+        let stop = (time_left - self.answer_us[framework] as i64).max(0);
+        let token = self.token(task);
+        self.host.timer(stop, token);
+        if !self.place(now, task) {
+            self.waiting.push(task);
+        }
+    }
+
+    pub fn found(
+        &mut self,
+        now: i64,
+        task: usize,
+        framework: usize,
+        tenant: Option<usize>,
+        service: usize,
+        cores: f64,
+        memory: f64,
+        m: usize,
+    ) {
+        self.know_machine(m);
+        // It runs already, so that reports contain it; it counts as launch 0.
+        let (phase, machine, launches, sent_at, ran_at) = (Phase::Placed, m, 1, now, now - REPORT_LAG);
+        let fresh = Task {
+            phase,
+            framework,
+            tenant,
+            service,
+            cores,
+            memory,
+            machine,
+            ..Task::default()
+        };
+        self.enter(
+            task,
+            Task {
+                launches,
+                sent_at,
+                ran_at,
+                ..fresh
+            },
+        );
+        self.mac.held[m].push(task);
+    }
+
+    fn enter(&mut self, task: usize, mut fresh: Task) {
+        self.stamp += 1;
+        fresh.stamp = self.stamp;
+        let (f, s, cores) = (fresh.framework, fresh.service, fresh.cores);
+        if s >= self.mean.len() {
+            self.mean.resize(s + 1, 0.0);
+            self.variance.resize(s + 1, 0.0);
+            self.notes.resize(s + 1, 0.0);
+        }
+        if self.notes[s] == 0.0 {
+            self.mean[s] = cores * self.use_mean[f];
+            self.variance[s] = cores * cores * self.use_variance[f];
+        }
+        if task == self.tasks.len() {
+            self.tasks.push(fresh);
+        } else {
+            self.tasks[task] = fresh;
+        }
+    }
+
+    /// The ordinary path: filter, mean plus margin, the fullest fitting machine, launch. False: it waits.
+    fn place(&mut self, now: i64, task: usize) -> bool {
+        let t = &self.tasks[task];
+        let (f, s, cores, memory) = (t.framework, t.service, t.cores, t.memory);
+        let (mu, b) = (self.mean[s], self.variance[s]);
+        let goal_left = (self.per(f, "objectiveUs") as i64 - (now - t.born_at)) as f64;
+        let accepts_cores = self.rule("familyInfo.admitCores");
+        let accepts_memory = self.rule("familyInfo.admitMemory");
+        let view = self.rule("familyInfo.view") > 0.0;
+        let ratio = self.spread_ratio();
+        let average = self.average_load(ratio);
+        // Fits: machine, UCaC after the bind, expected time to start, whether the program is there.
+        let mut fits: Vec<(usize, f64, f64, bool)> = Vec::new();
+        for m in 0..self.mac.listed.len() {
+            if !self.may_send(now, task, m) {
+                continue;
+            }
+            let (c, big_b, later_cores, later_memory) = self.load(m, ratio, average);
+            let ucac = c + mu + D * (big_b + b).sqrt();
+            if ucac > HEADROOM * self.mac.cores[m] {
+                continue;
+            }
+            let mut asked = self.mac.used_cores[m] / self.use_mean[f].max(0.1);
+            let mut unasked_memory = 0.0;
+            if view {
+                let (since_cores, since_memory) = self.asked_since(m, self.mac.view_at[m] - VIEW_LAG);
+                asked = self.mac.cores[m] - self.mac.view_cores[m] + since_cores - later_cores;
+                unasked_memory = self.mac.view_memory[m] - since_memory;
+                if self.mac.memory[m] - unasked_memory + memory > accepts_memory * self.mac.memory[m] {
+                    continue;
+                }
+            }
+            if asked + later_cores + cores > accepts_cores * self.mac.cores[m] {
+                continue;
+            }
+            let used = self.mac.used_memory[m] + later_memory + memory;
+            if memory > unasked_memory && used > MEMORY_SHARE * self.mac.memory[m] {
+                continue;
+            }
+            let warm = self.holds_program(m, s);
+            let own = if warm { self.warm_us[f] } else { self.cold_us[f] };
+            let line: f64 = self.mac.held[m].iter().map(|&o| self.start_left(o)).sum();
+            fits.push((m, ucac, (line + own) * self.mac.slow[m], warm));
+        }
+        // Starts wait in line on a machine and take several times as long without the program: of the
+        // fitting machines those count that start it within the latency goal, else near the soonest.
+        let soonest = fits.iter().map(|x| x.2).fold(f64::MAX, f64::min);
+        let in_time = goal_left.max(soonest * 1.25);
+        fits.retain(|x| x.2 <= in_time);
+        let fullest = fits.iter().map(|x| x.1).fold(f64::MIN, f64::max);
+        fits.retain(|x| x.1 >= fullest - TIE);
+        if fits.is_empty() {
+            return false;
+        }
+        let (m, _, expected_us, warm) = fits[self.chance.usize(0..fits.len())];
+        let lone = !self.mac.held[m].iter().any(|&o| self.start_left(o) > 0.0);
+        let patience = self.patience(now, task);
+        let t = &mut self.tasks[task];
+        (t.phase, t.machine, t.sent_at, t.ran_at) = (Phase::Out, m, now, 0);
+        (t.expected_us, t.lone, t.warm) = (expected_us, lone, warm);
+        t.launches += 1;
+        self.mac.held[m].push(task);
+        self.mac.sends[m].push_back(now);
+        self.host.launch(task, m, patience);
+        true
+    }
+
+    /// The rules and the health of machines, before any fit.
+    fn may_send(&mut self, now: i64, task: usize, m: usize) -> bool {
+        let t = &self.tasks[task];
+        let (f, s) = (t.framework, t.service);
+        let kind = self.rule(&format!("familyInfo.classKind.{f}"));
+        if !self.mac.listed[m] || (kind >= 0.0 && kind as usize != self.mac.kind[m]) || t.tried.contains(&m) {
+            return false;
+        }
+        if now < self.mac.full_until[m] && t.cores >= self.mac.full_cores[m]
+            || now < self.mac.pressed_until[m]
+        {
+            return false;
+        }
+        if !self.list_holds(now) || !self.group_allows(now, task, m) {
+            return false;
+        }
+        // A machine that fails is left alone, then tried with one launch at a time.
+        if now < self.mac.shun_until[m] {
+            return false;
+        }
+        if self.mac.ailing[m] > 0.2
+            && self.mac.held[m]
+                .iter()
+                .any(|&o| self.tasks[o].phase == Phase::Out)
+        {
+            return false;
+        }
+        let most = self.rule(&format!("familyInfo.mostTogether.{f}")) as usize;
+        let place = text(&self.given, &format!("familyInfo.classSpread.{f}"));
+        let together = |o: usize| match place {
+            "machine" => o == m,
+            "cell" => self.mac.cell[o] == self.mac.cell[m],
+            "zone" => self.mac.zone[o] == self.mac.zone[m],
+            _ => false,
+        };
+        let here = (0..self.mac.listed.len())
+            .filter(|&o| together(o))
+            .flat_map(|o| &self.mac.held[o]);
+        if here.filter(|&&o| self.tasks[o].service == s).count() >= most && !matches!(place, "" | "none") {
+            return false;
+        }
+        self.cold_budget_allows(now, m)
+    }
+
+    /// A cold machine always bears some offers in each window; this planner keeps to its even part of
+    /// them, and after its own start counts them as spent for a window, not knowing what it sent before.
+    fn cold_budget_allows(&mut self, now: i64, m: usize) -> bool {
+        let window = self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64;
+        while self.mac.sends[m].front().is_some_and(|&at| at <= now - window) {
+            self.mac.sends[m].pop_front();
+        }
+        let part = (self.rule("familyInfo.coldSends") / self.rule("nInstances").max(1.0)) as usize;
+        now >= self.mac.cold_until[m] || (now >= self.born_at + window && self.mac.sends[m].len() < part)
+    }
+
+    /// Rule 2: where a launch may have run, a further one must be harmless.
+    fn group_allows(&self, now: i64, task: usize, m: usize) -> bool {
+        let t = &self.tasks[task];
+        let Some((first, at)) = t.unsure else { return true };
+        let kept = match text(&self.given, &format!("classes.{}.semantics", t.framework)) {
+            "retryable" => return true,
+            "dedup" => match text(&self.given, &format!("classes.{}.group", t.framework)) {
+                "all" => true,
+                "zone" => self.mac.zone[first] == self.mac.zone[m],
+                _ => self.mac.cell[first] == self.mac.cell[m],
+            },
+            _ => false,
+        };
+        let travel = self.rule("permissions.connectTimeoutUs") as i64;
+        kept && now + travel < at + self.per(t.framework, "windowUs") as i64
+    }
+
+    /// How long a launch may go without an answer.
+    fn patience(&self, now: i64, task: usize) -> i64 {
+        let t = &self.tasks[task];
+        let left = t.limit_at - now;
+        let share = if text(&self.given, "familyInfo.yesAt") == "running" {
+            0.5
+        } else {
+            0.25
+        };
+        let usual = (self.per(t.framework, "deadlineUs") * share).max(4.0 * self.answer_us[t.framework]);
+        left.min(usual as i64)
+    }
+
+    pub fn accepted(&mut self, now: i64, task: usize, _launch: u32) {
+        let t = &mut self.tasks[task];
+        if t.phase != Phase::Out {
+            return;
+        }
+        t.phase = Phase::Placed;
+        let (m, f, took) = (t.machine, t.framework, (now - t.sent_at) as f64);
+        self.answer_us[f] += 0.1 * (took - self.answer_us[f]);
+        self.works(now, m);
+        if text(&self.given, "familyInfo.yesAt") == "running" {
+            self.runs(now, task);
+        }
+    }
+
+    /// News of a task: 1 it runs, 2 cores and 3 memory in use, 4 how well it is served, 5 memory of its machine.
+    pub fn noted(&mut self, now: i64, task: usize, sort: i64, value: f64) {
+        let t = &self.tasks[task];
+        let (f, s, m) = (t.framework, t.service, t.machine);
+        match sort {
+            1 => self.runs(now, task),
+            2 => {
+                self.notes[s] += 1.0;
+                let w = (1.0 / (self.notes[s] + 1.0)).max(1.0 / 32.0);
+                let off = value - self.mean[s];
+                self.mean[s] += w * off;
+                self.variance[s] = (1.0 - w) * (self.variance[s] + w * off * off);
+                self.use_notes[f] += 1.0;
+                let w = (1.0 / (self.use_notes[f] + 1.0)).max(1.0 / 256.0);
+                let off = value / t.cores.max(0.001) - self.use_mean[f];
+                self.use_mean[f] += w * off;
+                self.use_variance[f] = (1.0 - w) * (self.use_variance[f] + w * off * off);
+            }
+            4 if value < 0.9 => self.mac.pressed_until[m] = now + 1_000_000,
+            5 if value > 0.92 => self.mac.pressed_until[m] = now + 1_000_000,
+            _ => {}
+        }
+    }
+
+    /// The task has started; what that took teaches how long starts take here.
+    fn runs(&mut self, now: i64, task: usize) {
+        let t = &mut self.tasks[task];
+        if t.ran_at > 0 {
+            return;
+        }
+        t.ran_at = now;
+        let (m, f, took) = (t.machine, t.framework, (now - t.sent_at) as f64);
+        self.mac.slow[m] = (self.mac.slow[m] * (0.8 + 0.2 * took / t.expected_us.max(1.0))).clamp(0.3, 4.0);
+        if t.lone {
+            let usual = if t.warm {
+                &mut self.warm_us[f]
+            } else {
+                &mut self.cold_us[f]
+            };
+            *usual += 0.1 * (took - *usual);
+        }
+    }
+
+    pub fn resolved(
+        &mut self,
+        now: i64,
+        task: usize,
+        outcome: Outcome,
+        why: i64,
+        over: bool,
+        report: &[f64],
+    ) {
+        let (m, phase, sent_at) = (
+            self.tasks[task].machine,
+            self.tasks[task].phase,
+            self.tasks[task].sent_at,
+        );
+        self.mac.held[m].retain(|&o| o != task);
+        self.read_report(now, m, report);
+        if self.tasks[task].ran_at > 0 {
+            let s = self.tasks[task].service;
+            self.mac.kept[m].retain(|&k| k != s);
+            self.mac.kept[m].push_back(s);
+            if self.mac.kept[m].len() > 4 {
+                self.mac.kept[m].pop_front();
+            }
+        }
+        match outcome {
+            Outcome::Full => {
+                let t = &self.tasks[task];
+                let (wait, cores) = match why {
+                    1 | 2 => (1_000_000, t.cores),
+                    3 => (300_000, 0.0),
+                    _ => (1_000_000, 0.0),
+                };
+                (self.mac.full_until[m], self.mac.full_cores[m]) = (now + wait, cores);
+                self.works(now, m);
+            }
+            Outcome::ConnectFailed => self.fails(now, m, 0.5, true),
+            Outcome::TimedOut => self.fails(now, m, 0.5, true),
+            Outcome::Error => self.fails(now, m, 0.3, false),
+            Outcome::Reset if phase == Phase::Out || why == 0 => self.fails(now, m, 0.3, true),
+            Outcome::Reset if why == 5 => self.mac.pressed_until[m] = now + 2_000_000,
+            _ => {}
+        }
+        let t = &mut self.tasks[task];
+        if over || phase != Phase::Out {
+            t.phase = Phase::Over;
+            if phase != Phase::Out {
+                self.serve_waiting(now);
+            }
+            return;
+        }
+        t.tried.push(m);
+        if !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot) {
+            t.unsure = t.unsure.or(Some((m, sent_at)));
+        }
+        t.phase = Phase::Waiting;
+        let spent = f64::from(t.launches) >= self.rule("permissions.attemptsCap");
+        if spent || self.too_late(now, task) {
+            self.give_up(task);
+        } else if !self.place(now, task) {
+            self.tasks[task].tried.clear();
+            self.waiting.push(task);
+        }
+    }
+
+    pub fn expired(&mut self, now: i64, task: usize) {
+        let t = &mut self.tasks[task];
+        if t.phase == Phase::Out && self.rule("permissions.cancelling") > 0.0 {
+            let launch = self.tasks[task].launches - 1;
+            self.host.cancel(task, launch);
+        }
+        self.tasks[task].phase = Phase::Over;
+        self.waiting.retain(|&o| o != task);
+        self.serve_waiting(now);
+    }
+
+    /// Too little time for an answer, or what may have run forbids every further launch.
+    fn too_late(&self, now: i64, task: usize) -> bool {
+        let t = &self.tasks[task];
+        let late = now + self.answer_us[t.framework] as i64 >= t.limit_at;
+        late || t
+            .unsure
+            .is_some_and(|(first, _)| !self.group_allows(now, task, first))
+    }
+
+    /// The final answer: declined where a further try is harmless, else aborted.
+    fn give_up(&mut self, task: usize) {
+        let t = &mut self.tasks[task];
+        t.phase = Phase::Over;
+        let semantics = text(&self.given, &format!("classes.{}.semantics", t.framework));
+        let group = text(&self.given, &format!("classes.{}.group", t.framework));
+        if t.unsure.is_none() || semantics == "retryable" || (semantics == "dedup" && group == "all") {
+            self.host.decline(task, 0);
+        } else {
+            self.host.abort(task);
+        }
+    }
+
+    /// Room may have come: those who wait are tried by value, the oldest first.
+    fn serve_waiting(&mut self, now: i64) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut line = std::mem::take(&mut self.waiting);
+        line.sort_by(|&a, &b| {
+            let value = |o: usize| self.per(self.tasks[o].framework, "worth");
+            let by_age = self.tasks[a].stamp.cmp(&self.tasks[b].stamp);
+            value(b).total_cmp(&value(a)).then(by_age)
+        });
+        let mut least = vec![f64::MAX; self.use_mean.len()];
+        for task in line {
+            let (f, cores) = (self.tasks[task].framework, self.tasks[task].cores);
+            if self.too_late(now, task) {
+                self.give_up(task);
+            } else if cores >= least[f] || !self.place(now, task) {
+                least[f] = least[f].min(cores);
+                self.waiting.push(task);
+            }
+        }
+    }
+
+    // ---- time ----
+
+    pub fn timer_due(&mut self, now: i64, token: u64) {
+        if token != 0 {
+            let task = (token & 0xffff_ffff) as usize;
+            let due = self.tasks[task].phase == Phase::Waiting && self.token(task) == token;
+            if due {
+                self.waiting.retain(|&o| o != task);
+                self.give_up(task);
+            }
+            return;
+        }
+        self.host.timer(TICK, 0);
+        if now >= self.list_due {
+            self.ask_for_list(now);
+        }
+        self.probe_round(now);
+        self.serve_waiting(now);
+    }
+
+    fn token(&self, task: usize) -> u64 {
+        (self.tasks[task].stamp & 0x3fff_ffff) << 32 | task as u64
+    }
+
+    // ---- machines ----
+
+    fn probe_round(&mut self, now: i64) {
+        if self.rule("permissions.probes") == 0.0 {
+            return;
+        }
+        for m in 0..self.mac.listed.len() {
+            let last = self.mac.report_at[m].max(self.mac.probed_at[m]);
+            if self.mac.listed[m] && (last == 0 || now - last >= PROBE_EVERY) {
+                self.mac.probed_at[m] = now;
+                self.host.probe(m);
+            }
+        }
+    }
+
+    pub fn probed(&mut self, now: i64, m: usize, outcome: Outcome, report: &[f64]) {
+        self.know_machine(m);
+        if outcome == Outcome::Ended {
+            self.read_report(now, m, report);
+            if self.mac.silent[m] {
+                self.revive(now, m);
+                self.mac.shun_until[m] = now;
+            }
+        } else if outcome != Outcome::Full {
+            self.fails(now, m, 0.3, true);
+        }
+    }
+
+    /// An answer from a machine that was silent: it may have restarted before the list says so.
+    fn revive(&mut self, now: i64, m: usize) {
+        self.mac.silent[m] = false;
+        self.mac.cold_until[m] = self.mac.cold_until[m].max(now + self.rule("rules.coldUs") as i64);
+    }
+
+    fn works(&mut self, now: i64, m: usize) {
+        self.mac.ailing[m] *= 0.8;
+        if self.mac.silent[m] {
+            self.revive(now, m);
+        }
+    }
+
+    /// Each failure makes the machine ail more, and the more it ails the longer it is left alone.
+    fn fails(&mut self, now: i64, m: usize, weight: f64, silent: bool) {
+        self.mac.ailing[m] += weight * (1.0 - self.mac.ailing[m]);
+        self.mac.silent[m] |= silent;
+        self.mac.shun_until[m] = now + (self.mac.ailing[m] * 4_000_000.0) as i64;
+    }
+
+    fn read_report(&mut self, now: i64, m: usize, report: &[f64]) {
+        for (i, &value) in report.iter().enumerate() {
+            match text(&self.given, &format!("stats.fields.{i}")) {
+                "x0" => {
+                    self.mac.used_cores[m] = (self.mac.cores[m] - value).max(0.0);
+                    self.mac.report_at[m] = now;
+                }
+                "x1" => self.mac.used_memory[m] = (self.mac.memory[m] - value).max(0.0),
+                _ => {}
+            }
+        }
+    }
+
+    /// C and B of a machine, and the cores and memory asked by own binds that its report can't contain.
+    fn load(&self, m: usize, ratio: f64, average: (f64, f64)) -> (f64, f64, f64, f64) {
+        let (mut known, mut later, mut b) = (0.0, 0.0, 0.0);
+        let (mut later_cores, mut later_memory) = (0.0, 0.0);
+        for t in self.mac.held[m]
+            .iter()
+            .map(|&o| &self.tasks[o])
+            .filter(|t| t.sent_at >= self.mac.started[m])
+        {
+            b += self.variance[t.service];
+            if t.ran_at > 0 && t.ran_at + REPORT_LAG <= self.mac.report_at[m] {
+                known += self.mean[t.service];
+            } else {
+                later += self.mean[t.service];
+                later_cores += t.cores;
+                later_memory += t.memory;
+            }
+        }
+        if self.mac.report_at[m] == 0 {
+            return (average.0 + later, average.1 + b, later_cores, later_memory);
+        }
+        let others = (self.mac.used_cores[m] - known).max(0.0);
+        (
+            self.mac.used_cores[m] + later,
+            b + others * ratio,
+            later_cores,
+            later_memory,
+        )
+    }
+
+    /// Mean variance-to-mean ratio of the known services.
+    fn spread_ratio(&self) -> f64 {
+        let known = || (0..self.mean.len()).filter(|&s| self.mean[s] > 0.0);
+        let sum: f64 = known().map(|s| self.variance[s] / self.mean[s]).sum();
+        sum / known().count().max(1) as f64
+    }
+
+    fn average_load(&self, ratio: f64) -> (f64, f64) {
+        let reported =
+            || (0..self.mac.listed.len()).filter(|&m| self.mac.listed[m] && self.mac.report_at[m] > 0);
+        let n = reported().count().max(1) as f64;
+        let sum = reported().map(|m| self.load(m, ratio, (0.0, 0.0)));
+        let (c, b) = sum.fold((0.0, 0.0), |acc, x| (acc.0 + x.0, acc.1 + x.1));
+        (c / n, b / n)
+    }
+
+    fn asked_since(&self, m: usize, since: i64) -> (f64, f64) {
+        let late = self.mac.held[m]
+            .iter()
+            .map(|&o| &self.tasks[o])
+            .filter(|t| t.sent_at > since);
+        late.fold((0.0, 0.0), |acc, t| (acc.0 + t.cores, acc.1 + t.memory))
+    }
+
+    fn holds_program(&self, m: usize, s: usize) -> bool {
+        let runs = |t: &Task| t.service == s && t.ran_at > 0 && t.sent_at >= self.mac.started[m];
+        self.mac.held[m].iter().any(|&o| runs(&self.tasks[o])) || self.mac.kept[m].contains(&s)
+    }
+
+    /// Time that a task still takes of its machine's line of starts.
+    fn start_left(&self, task: usize) -> f64 {
+        let t = &self.tasks[task];
+        match (t.ran_at > 0, t.warm) {
+            (true, _) => 0.0,
+            (false, true) => self.warm_us[t.framework],
+            (false, false) => self.cold_us[t.framework],
+        }
+    }
+
+    fn rule(&self, name: &str) -> f64 {
+        number(&self.given, name).unwrap_or(0.0)
+    }
+
+    fn per(&self, framework: usize, name: &str) -> f64 {
+        self.rule(&format!("classes.{framework}.{name}"))
+    }
+
+    fn know_machine(&mut self, m: usize) {
+        let mac = &mut self.mac;
+        while mac.listed.len() <= m {
+            for column in [&mut mac.listed, &mut mac.silent] {
+                column.push(false);
+            }
+            for column in [&mut mac.kind, &mut mac.zone, &mut mac.cell] {
+                column.push(0);
+            }
+            let times = [
+                &mut mac.started,
+                &mut mac.report_at,
+                &mut mac.view_at,
+                &mut mac.cold_until,
+            ];
+            let until = [
+                &mut mac.shun_until,
+                &mut mac.full_until,
+                &mut mac.pressed_until,
+                &mut mac.probed_at,
+            ];
+            for column in times.into_iter().chain(until) {
+                column.push(0);
+            }
+            let room = [
+                &mut mac.cores,
+                &mut mac.memory,
+                &mut mac.view_cores,
+                &mut mac.view_memory,
+            ];
+            let use_ = [
+                &mut mac.used_cores,
+                &mut mac.used_memory,
+                &mut mac.ailing,
+                &mut mac.full_cores,
+            ];
+            for column in room.into_iter().chain(use_) {
+                column.push(0.0);
+            }
+            mac.slow.push(1.0);
+            mac.held.push(Vec::new());
+            mac.kept.push(VecDeque::new());
+            mac.sends.push(VecDeque::new());
+        }
+    }
+}
