Let the margin melt with waiting; take the variance ratio from observed services

Cause: large tasks never found room. Their starting variance (a quarter of the ask squared) and its share in the mean ratio put tens of cores of margin on every machine. Should also cover services whose tasks really swing; may hurt where a thin margin meets a burst.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -323,6 +323,8 @@
         let (f, s, cores, memory) = (t.framework, t.service, t.cores, t.memory);
         let (mu, b) = (self.mean[s], self.variance[s]);
         let goal_left = (self.per(f, "objectiveUs") as i64 - (now - t.born_at)) as f64;
+        // Waiting costs more than a thin margin: it melts away as the latency goal passes.
+        let ease = ((now - t.born_at) as f64 / self.per(f, "objectiveUs").max(1.0)).min(1.0);
         let accepts_cores = self.rule("familyInfo.admitCores");
         let accepts_memory = self.rule("familyInfo.admitMemory");
         let view = self.rule("familyInfo.view") > 0.0;
@@ -336,7 +338,8 @@
             }
             let (c, big_b, later_cores, later_memory) = self.load(m, ratio, average);
             let ucac = c + mu + D * (big_b + b).sqrt();
-            if ucac > HEADROOM * self.mac.cores[m] {
+            let relaxed = c + mu + (1.0 - ease) * D * (big_b + b).sqrt();
+            if relaxed > (HEADROOM + ease * (1.0 - HEADROOM)) * self.mac.cores[m] {
                 continue;
             }
             let mut asked = self.mac.used_cores[m] / self.use_mean[f].max(0.1);
@@ -763,7 +766,7 @@
 
     /// Mean variance-to-mean ratio of the known services.
     fn spread_ratio(&self) -> f64 {
-        let known = || (0..self.mean.len()).filter(|&s| self.mean[s] > 0.0);
+        let known = || (0..self.mean.len()).filter(|&s| self.notes[s] > 0.0 && self.mean[s] > 0.0);
         let sum: f64 = known().map(|s| self.variance[s] / self.mean[s]).sum();
         sum / known().count().max(1) as f64
     }
