Machines that hold a task's program go first; the model of start lines is dropped

Cause: over nine in ten cold starts happened while the planner held the same service elsewhere; the predicted line of starts wrongly ruled those machines out, and a start there showed no such wait. Framework priors now rest on notes. May hurt where one program draws all work to few machines.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,6 +18,8 @@
 /// A report is taken to contain a task that had run this long when it came; reports are late and rare.
 const REPORT_LAG: i64 = 1_500_000;
 const VIEW_LAG: i64 = 3_000_000;
+/// Programs that a machine is taken to keep after their last task.
+const KEPT: usize = 6;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -45,9 +47,6 @@
     launches: u32,
     sent_at: i64,
     ran_at: i64,
-    expected_us: f64,
-    lone: bool,
-    warm: bool,
     /// The first launch that may have run: its machine and when it was sent.
     unsure: Option<(usize, i64)>,
     tried: Vec<usize>,
@@ -80,7 +79,6 @@
     full_cores: Vec<f64>,
     pressed_until: Vec<i64>,
     probed_at: Vec<i64>,
-    slow: Vec<f64>,
 }
 
 pub struct Planner<H: Host> {
@@ -105,8 +103,6 @@
     use_mean: Vec<f64>,
     use_variance: Vec<f64>,
     use_notes: Vec<f64>,
-    warm_us: Vec<f64>,
-    cold_us: Vec<f64>,
     answer_us: Vec<f64>,
     mac: Machines,
 }
@@ -118,7 +114,7 @@
             .count();
         let goal = |i: usize| number(&given, &format!("classes.{i}.objectiveUs")).unwrap_or(0.0);
         let per = |share: f64| (0..frameworks).map(|i| goal(i) * share).collect::<Vec<f64>>();
-        let (warm_us, cold_us, answer_us) = (per(0.25), per(1.5), per(0.25));
+        let answer_us = per(0.25);
         let mut planner = Planner {
             host,
             given,
@@ -138,8 +134,6 @@
             use_mean: vec![1.0; frameworks],
             use_variance: vec![0.25; frameworks],
             use_notes: vec![0.0; frameworks],
-            warm_us,
-            cold_us,
             answer_us,
             mac: Machines::default(),
         };
@@ -307,8 +301,14 @@
             self.notes.resize(s + 1, 0.0);
         }
         if self.notes[s] == 0.0 {
-            self.mean[s] = cores * self.use_mean[f];
-            self.variance[s] = cores * cores * self.use_variance[f];
+            // The ask and a quarter of its square, until some notes of the framework tell better.
+            let told = self.use_notes[f] >= 4.0;
+            let (mean, variance) = if told {
+                (self.use_mean[f], self.use_variance[f])
+            } else {
+                (1.0, 0.25)
+            };
+            (self.mean[s], self.variance[s]) = (cores * mean, cores * cores * variance);
         }
         if task == self.tasks.len() {
             self.tasks.push(fresh);
@@ -322,7 +322,6 @@
         let t = &self.tasks[task];
         let (f, s, cores, memory) = (t.framework, t.service, t.cores, t.memory);
         let (mu, b) = (self.mean[s], self.variance[s]);
-        let goal_left = (self.per(f, "objectiveUs") as i64 - (now - t.born_at)) as f64;
         // Waiting costs more than a thin margin: it melts away as the latency goal passes.
         let ease = ((now - t.born_at) as f64 / self.per(f, "objectiveUs").max(1.0)).min(1.0);
         let accepts_cores = self.rule("familyInfo.admitCores");
@@ -330,8 +329,8 @@
         let view = self.rule("familyInfo.view") > 0.0;
         let ratio = self.spread_ratio();
         let average = self.average_load(ratio);
-        // Fits: machine, UCaC after the bind, expected time to start, whether the program is there.
-        let mut fits: Vec<(usize, f64, f64, bool)> = Vec::new();
+        // Fits: machine, UCaC after the bind, whether the program is there.
+        let mut fits: Vec<(usize, f64, bool)> = Vec::new();
         for m in 0..self.mac.listed.len() {
             if !self.may_send(now, task, m) {
                 continue;
@@ -359,27 +358,21 @@
             if memory > unasked_memory && used > MEMORY_SHARE * self.mac.memory[m] {
                 continue;
             }
-            let warm = self.holds_program(m, s);
-            let own = if warm { self.warm_us[f] } else { self.cold_us[f] };
-            let line: f64 = self.mac.held[m].iter().map(|&o| self.start_left(o)).sum();
-            fits.push((m, ucac, (line + own) * self.mac.slow[m], warm));
-        }
-        // Starts wait in line on a machine and take several times as long without the program: of the
-        // fitting machines those count that start it within the latency goal, else near the soonest.
-        let soonest = fits.iter().map(|x| x.2).fold(f64::MAX, f64::min);
-        let in_time = goal_left.max(soonest * 1.25);
-        fits.retain(|x| x.2 <= in_time);
+            fits.push((m, ucac, self.holds_program(m, s)));
+        }
+        // A start takes several times as long where the program is not, past any short latency goal: of
+        // the fitting machines those that hold it go first, and the fullest of them is picked.
+        let held = fits.iter().any(|x| x.2);
+        fits.retain(|x| x.2 == held);
         let fullest = fits.iter().map(|x| x.1).fold(f64::MIN, f64::max);
         fits.retain(|x| x.1 >= fullest - TIE);
         if fits.is_empty() {
             return false;
         }
-        let (m, _, expected_us, warm) = fits[self.chance.usize(0..fits.len())];
-        let lone = !self.mac.held[m].iter().any(|&o| self.start_left(o) > 0.0);
+        let m = fits[self.chance.usize(0..fits.len())].0;
         let patience = self.patience(now, task);
         let t = &mut self.tasks[task];
         (t.phase, t.machine, t.sent_at, t.ran_at) = (Phase::Out, m, now, 0);
-        (t.expected_us, t.lone, t.warm) = (expected_us, lone, warm);
         t.launches += 1;
         self.mac.held[m].push(task);
         self.mac.sends[m].push_back(now);
@@ -499,7 +492,7 @@
                 self.mean[s] += w * off;
                 self.variance[s] = (1.0 - w) * (self.variance[s] + w * off * off);
                 self.use_notes[f] += 1.0;
-                let w = (1.0 / (self.use_notes[f] + 1.0)).max(1.0 / 256.0);
+                let w = (1.0 / self.use_notes[f]).max(1.0 / 256.0);
                 let off = value / t.cores.max(0.001) - self.use_mean[f];
                 self.use_mean[f] += w * off;
                 self.use_variance[f] = (1.0 - w) * (self.use_variance[f] + w * off * off);
@@ -510,22 +503,9 @@
         }
     }
 
-    /// The task has started; what that took teaches how long starts take here.
     fn runs(&mut self, now: i64, task: usize) {
-        let t = &mut self.tasks[task];
-        if t.ran_at > 0 {
-            return;
-        }
-        t.ran_at = now;
-        let (m, f, took) = (t.machine, t.framework, (now - t.sent_at) as f64);
-        self.mac.slow[m] = (self.mac.slow[m] * (0.8 + 0.2 * took / t.expected_us.max(1.0))).clamp(0.3, 4.0);
-        if t.lone {
-            let usual = if t.warm {
-                &mut self.warm_us[f]
-            } else {
-                &mut self.cold_us[f]
-            };
-            *usual += 0.1 * (took - *usual);
+        if self.tasks[task].ran_at == 0 {
+            self.tasks[task].ran_at = now;
         }
     }
 
@@ -549,7 +529,7 @@
             let s = self.tasks[task].service;
             self.mac.kept[m].retain(|&k| k != s);
             self.mac.kept[m].push_back(s);
-            if self.mac.kept[m].len() > 4 {
+            if self.mac.kept[m].len() > KEPT {
                 self.mac.kept[m].pop_front();
             }
         }
@@ -789,20 +769,10 @@
     }
 
     fn holds_program(&self, m: usize, s: usize) -> bool {
-        let runs = |t: &Task| t.service == s && t.ran_at > 0 && t.sent_at >= self.mac.started[m];
+        let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
         self.mac.held[m].iter().any(|&o| runs(&self.tasks[o])) || self.mac.kept[m].contains(&s)
     }
 
-    /// Time that a task still takes of its machine's line of starts.
-    fn start_left(&self, task: usize) -> f64 {
-        let t = &self.tasks[task];
-        match (t.ran_at > 0, t.warm) {
-            (true, _) => 0.0,
-            (false, true) => self.warm_us[t.framework],
-            (false, false) => self.cold_us[t.framework],
-        }
-    }
-
     fn rule(&self, name: &str) -> f64 {
         number(&self.given, name).unwrap_or(0.0)
     }
@@ -850,7 +820,6 @@
             for column in room.into_iter().chain(use_) {
                 column.push(0.0);
             }
-            mac.slow.push(1.0);
             mac.held.push(Vec::new());
             mac.kept.push(VecDeque::new());
             mac.sends.push(VecDeque::new());
