Headroom share 0.95 in place of 0.8

Cause: the margin at 99% already guards the peak; a second fifth of the cores kept large tasks waiting on a half-empty fleet.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,7 +11,7 @@
 /// Confidence 99%: the standard normal quantile (the paper's D; DESIGN runs 99.9% and 99%).
 const D: f64 = 2.326;
 /// Share of a machine's cores that the mean plus margin may fill, and of its memory (DESIGN's defaults).
-const HEADROOM: f64 = 0.8;
+const HEADROOM: f64 = 0.95;
 const MEMORY_SHARE: f64 = 0.85;
 /// Machines whose UCaC is within this many cores of the best are drawn from at random (DESIGN's default).
 const TIE: f64 = 0.5;
