--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,7 +11,7 @@
 /// Confidence 99%: the standard normal quantile (the paper's D; DESIGN runs 99.9% and 99%).
 const D: f64 = 2.326;
 /// Share of a machine's cores that the mean plus margin may fill, and of its memory (DESIGN's defaults).
-const HEADROOM: f64 = 0.95;
+const HEADROOM: f64 = 1.0;
 const MEMORY_SHARE: f64 = 0.85;
 /// Machines whose UCaC is within this many cores of the best are drawn from at random (DESIGN's default).
 const TIE: f64 = 0.5;
@@ -103,6 +103,8 @@
     use_mean: Vec<f64>,
     use_variance: Vec<f64>,
     use_notes: Vec<f64>,
+    /// Share of the asked memory that tasks use.
+    memory_use: f64,
     answer_us: Vec<f64>,
     mac: Machines,
 }
@@ -134,6 +136,7 @@
             use_mean: vec![1.0; frameworks],
             use_variance: vec![0.25; frameworks],
             use_notes: vec![0.0; frameworks],
+            memory_use: 0.7,
             answer_us,
             mac: Machines::default(),
         };
@@ -331,16 +334,14 @@
         let average = self.average_load(ratio);
         // Fits: machine, UCaC after the bind, whether the program is there.
         let mut fits: Vec<(usize, f64, bool)> = Vec::new();
+        let mut room = (f64::MAX, 0, 0.0, 0.0);
         for m in 0..self.mac.listed.len() {
             if !self.may_send(now, task, m) {
                 continue;
             }
             let (c, big_b, later_cores, later_memory) = self.load(m, ratio, average);
             let ucac = c + mu + D * (big_b + b).sqrt();
-            let relaxed = c + mu + (1.0 - ease) * D * (big_b + b).sqrt();
-            if relaxed > (HEADROOM + ease * (1.0 - HEADROOM)) * self.mac.cores[m] {
-                continue;
-            }
+            let over_cores = c + mu + (1.0 - ease) * D * (big_b + b).sqrt() - HEADROOM * self.mac.cores[m];
             let mut asked = self.mac.used_cores[m] / self.use_mean[f].max(0.1);
             let mut unasked_memory = 0.0;
             if view {
@@ -355,10 +356,22 @@
                 continue;
             }
             let used = self.mac.used_memory[m] + later_memory + memory;
-            if memory > unasked_memory && used > MEMORY_SHARE * self.mac.memory[m] {
-                continue;
+            let mut over_memory = used - MEMORY_SHARE * self.mac.memory[m];
+            if memory <= unasked_memory {
+                over_memory = 0.0;
+            }
+            if over_cores <= 0.0 && over_memory <= 0.0 {
+                fits.push((m, ucac, self.holds_program(m, s)));
+            } else if self.priority(f) > 0.0 && fits.is_empty() {
+                let line = self.movable(m, f);
+                let free: f64 = line.iter().map(|&o| self.mean[self.tasks[o].service]).sum();
+                let free_memory = line.iter().map(|&o| self.tasks[o].memory).sum::<f64>() * self.memory_use;
+                let loss =
+                    over_cores.max(0.0) / self.mac.cores[m] + over_memory.max(0.0) / self.mac.memory[m];
+                if free >= over_cores && free_memory >= over_memory && loss < room.0 {
+                    room = (loss, m, over_cores, over_memory);
+                }
             }
-            fits.push((m, ucac, self.holds_program(m, s)));
         }
         // A start takes several times as long where the program is not, past any short latency goal: of
         // the fitting machines those that hold it go first, and the fullest of them is picked.
@@ -366,10 +379,15 @@
         fits.retain(|x| x.2 == held);
         let fullest = fits.iter().map(|x| x.1).fold(f64::MIN, f64::max);
         fits.retain(|x| x.1 >= fullest - TIE);
-        if fits.is_empty() {
+        let m = if !fits.is_empty() {
+            fits[self.chance.usize(0..fits.len())].0
+        } else if room.0 < f64::MAX {
+            // No machine fits a task of higher priority: room is made where the least must move.
+            self.relieve(room.1, f, room.2, room.3);
+            room.1
+        } else {
             return false;
-        }
-        let m = fits[self.chance.usize(0..fits.len())].0;
+        };
         let patience = self.patience(now, task);
         let t = &mut self.tasks[task];
         (t.phase, t.machine, t.sent_at, t.ran_at) = (Phase::Out, m, now, 0);
@@ -497,7 +515,14 @@
                 self.use_mean[f] += w * off;
                 self.use_variance[f] = (1.0 - w) * (self.use_variance[f] + w * off * off);
             }
-            4 if value < 0.9 => self.mac.pressed_until[m] = now + 1_000_000,
+            3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
+            4 if value < 0.9 => {
+                self.mac.pressed_until[m] = now + 1_000_000;
+                // A crowded machine serves its tasks of higher priority worse: own others make way.
+                if self.priority(f) > 0.0 {
+                    self.relieve(m, f, 0.1 * self.mac.cores[m], 0.0);
+                }
+            }
             5 if value > 0.92 => self.mac.pressed_until[m] = now + 1_000_000,
             _ => {}
         }
@@ -744,6 +769,44 @@
         )
     }
 
+    fn priority(&self, f: usize) -> f64 {
+        self.rule(&format!("familyInfo.priorityByClass.{f}"))
+    }
+
+    /// Own placed tasks on a machine that give way to a framework: of lower priority, free to run again.
+    fn movable(&self, m: usize, f: usize) -> Vec<usize> {
+        let gives_way = |t: &Task| {
+            t.phase == Phase::Placed
+                && self.priority(t.framework) < self.priority(f)
+                && text(&self.given, &format!("classes.{}.semantics", t.framework)) == "retryable"
+        };
+        self.mac.held[m]
+            .iter()
+            .copied()
+            .filter(|&o| gives_way(&self.tasks[o]))
+            .collect()
+    }
+
+    /// Moves own tasks off a machine, the largest first, until they free so many cores and memory units.
+    fn relieve(&mut self, m: usize, f: usize, mut cores: f64, mut memory: f64) {
+        let mut line = self.movable(m, f);
+        line.sort_by(|&a, &b| {
+            self.tasks[b]
+                .cores
+                .total_cmp(&self.tasks[a].cores)
+                .then(a.cmp(&b))
+        });
+        for o in line {
+            if cores <= 0.0 && memory <= 0.0 {
+                return;
+            }
+            cores -= self.mean[self.tasks[o].service];
+            memory -= self.tasks[o].memory * self.memory_use;
+            self.tasks[o].phase = Phase::Over;
+            self.host.move_task(o);
+        }
+    }
+
     /// Mean variance-to-mean ratio of the known services.
     fn spread_ratio(&self) -> f64 {
         let known = || (0..self.mean.len()).filter(|&s| self.notes[s] > 0.0 && self.mean[s] > 0.0);
