Of fitting machines the calm ones go first, then those that hold the program

Cause: large tasks stop being served just above their calm level and start slowly on crowded machines.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -332,8 +332,8 @@
         let view = self.rule("familyInfo.view") > 0.0;
         let ratio = self.spread_ratio();
         let average = self.average_load(ratio);
-        // Fits: machine, UCaC after the bind, whether the program is there.
-        let mut fits: Vec<(usize, f64, bool)> = Vec::new();
+        // Fits: machine, UCaC after the bind, how well it suits.
+        let mut fits: Vec<(usize, f64, u8)> = Vec::new();
         let mut room = (f64::MAX, 0, 0.0, 0.0);
         for m in 0..self.mac.listed.len() {
             if !self.may_send(now, task, m) {
@@ -361,7 +361,7 @@
                 over_memory = 0.0;
             }
             if over_cores <= 0.0 && over_memory <= 0.0 {
-                fits.push((m, ucac, self.holds_program(m, s)));
+                fits.push((m, ucac, self.suits(m, f, s, ucac)));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
                 let line = self.movable(m, f);
                 let free: f64 = line.iter().map(|&o| self.mean[self.tasks[o].service]).sum();
@@ -373,10 +373,9 @@
                 }
             }
         }
-        // A start takes several times as long where the program is not, past any short latency goal: of
-        // the fitting machines those that hold it go first, and the fullest of them is picked.
-        let held = fits.iter().any(|x| x.2);
-        fits.retain(|x| x.2 == held);
+        // Of the fitting machines those that suit best, of these the fullest.
+        let best = fits.iter().map(|x| x.2).max().unwrap_or(0);
+        fits.retain(|x| x.2 == best);
         let fullest = fits.iter().map(|x| x.1).fold(f64::MIN, f64::max);
         fits.retain(|x| x.1 >= fullest - TIE);
         let m = if !fits.is_empty() {
@@ -769,6 +768,14 @@
         )
     }
 
+    /// How well a fitting machine suits: its cores stay calm enough for the framework to be served in full,
+    /// it holds the program (a start takes several times as long without), own others stay calm too.
+    fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
+        let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * self.mac.cores[m] >= ucac;
+        let others_calm = self.mac.held[m].iter().all(|&o| calm(self.tasks[o].framework));
+        4 * u8::from(calm(f)) + 2 * u8::from(self.holds_program(m, s)) + u8::from(others_calm)
+    }
+
     fn priority(&self, f: usize) -> f64 {
         self.rule(&format!("familyInfo.priorityByClass.{f}"))
     }
