Memory share 0.95; a timer with every wait

Cause: memory, not cores, kept large tasks out; asks exceed use, so the share can be wide. Machine speeds learned from served shares stay in the preference.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,7 +12,7 @@
 const D: f64 = 2.326;
 /// Share of a machine's cores that the mean plus margin may fill, and of its memory (DESIGN's defaults).
 const HEADROOM: f64 = 1.0;
-const MEMORY_SHARE: f64 = 0.85;
+const MEMORY_SHARE: f64 = 0.95;
 /// Machines whose UCaC is within this many cores of the best are drawn from at random (DESIGN's default).
 const TIE: f64 = 0.5;
 /// A report is taken to contain a task that had run this long when it came; reports are late and rare.
@@ -78,6 +78,7 @@
     full_until: Vec<i64>,
     full_cores: Vec<f64>,
     pressed_until: Vec<i64>,
+    speed: Vec<f64>,
     probed_at: Vec<i64>,
 }
 
@@ -250,11 +251,8 @@
             ..Task::default()
         };
         self.enter(task, fresh);
-        let stop = (time_left - self.answer_us[framework] as i64).max(0);
-        let token = self.token(task);
-        self.host.timer(stop, token);
         if !self.place(now, task) {
-            self.waiting.push(task);
+            self.wait(now, task);
         }
     }
 
@@ -515,13 +513,7 @@
                 self.use_variance[f] = (1.0 - w) * (self.use_variance[f] + w * off * off);
             }
             3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
-            4 if value < 0.9 => {
-                self.mac.pressed_until[m] = now + 1_000_000;
-                // A crowded machine serves its tasks of higher priority worse: own others make way.
-                if self.priority(f) > 0.0 {
-                    self.relieve(m, f, 0.1 * self.mac.cores[m], 0.0);
-                }
-            }
+            4 => self.served(now, task, value),
             5 if value > 0.92 => self.mac.pressed_until[m] = now + 1_000_000,
             _ => {}
         }
@@ -533,6 +525,26 @@
         }
     }
 
+    /// How well a task is served tells what the machine's cores are worth: true speeds are not listed.
+    fn served(&mut self, now: i64, task: usize, value: f64) {
+        let (f, m) = (self.tasks[task].framework, self.tasks[task].machine);
+        let calm = self.rule(&format!("familyInfo.calmLevel.{f}"));
+        let busy = calm + self.rule(&format!("familyInfo.fadeSpan.{f}")) * (1.0 - value);
+        let ratio = self.spread_ratio();
+        let c = self.load(m, ratio, self.average_load(ratio)).0;
+        let told = (c / (self.mac.cores[m] * busy)).clamp(0.4, 1.0);
+        if value < 0.95 || told > self.mac.speed[m] {
+            self.mac.speed[m] += 0.3 * (told - self.mac.speed[m]);
+        }
+        if value < 0.9 {
+            self.mac.pressed_until[m] = now + 1_000_000;
+            // A crowded machine serves its tasks of higher priority worse: own others make way.
+            if self.priority(f) > 0.0 {
+                self.relieve(m, f, c - calm * self.mac.speed[m] * self.mac.cores[m], 0.0);
+            }
+        }
+    }
+
     pub fn resolved(
         &mut self,
         now: i64,
@@ -593,7 +605,7 @@
             self.give_up(task);
         } else if !self.place(now, task) {
             self.tasks[task].tried.clear();
-            self.waiting.push(task);
+            self.wait(now, task);
         }
     }
 
@@ -608,6 +620,15 @@
         self.serve_waiting(now);
     }
 
+    /// Waits for room, with a timer of its own for the last moment at which a launch could be answered.
+    fn wait(&mut self, now: i64, task: usize) {
+        let t = &self.tasks[task];
+        let stop = t.limit_at - self.answer_us[t.framework] as i64 - now;
+        let token = self.token(task);
+        self.host.timer(stop.max(0), token);
+        self.waiting.push(task);
+    }
+
     /// Too little time for an answer, or what may have run forbids every further launch.
     fn too_late(&self, now: i64, task: usize) -> bool {
         let t = &self.tasks[task];
@@ -771,7 +792,8 @@
     /// How well a fitting machine suits: its cores stay calm enough for the framework to be served in full,
     /// it holds the program (a start takes several times as long without), own others stay calm too.
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
-        let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * self.mac.cores[m] >= ucac;
+        let cores = self.mac.speed[m] * self.mac.cores[m];
+        let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * cores >= ucac;
         let others_calm = self.mac.held[m].iter().all(|&o| calm(self.tasks[o].framework));
         4 * u8::from(calm(f)) + 2 * u8::from(self.holds_program(m, s)) + u8::from(others_calm)
     }
@@ -890,6 +912,7 @@
             for column in room.into_iter().chain(use_) {
                 column.push(0.0);
             }
+            mac.speed.push(1.0);
             mac.held.push(Vec::new());
             mac.kept.push(VecDeque::new());
             mac.sends.push(VecDeque::new());
