--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,6 +20,8 @@
 const VIEW_LAG: i64 = 3_000_000;
 /// Programs that a machine is taken to keep after their last task.
 const KEPT: usize = 6;
+/// Own tasks yet to start that a machine may have before others go first.
+const LINE: usize = 6;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -340,17 +342,19 @@
             let (c, big_b, later_cores, later_memory) = self.load(m, ratio, average);
             let ucac = c + mu + D * (big_b + b).sqrt();
             let over_cores = c + mu + (1.0 - ease) * D * (big_b + b).sqrt() - HEADROOM * self.mac.cores[m];
-            let mut asked = self.mac.used_cores[m] / self.use_mean[f].max(0.1);
+            // All that a machine has accepted: listed late, or else told by what is used.
+            let mut asked = self.mac.used_cores[m] / self.use_mean[f].max(0.1) + later_cores;
+            let mut asked_memory = 0.0;
             let mut unasked_memory = 0.0;
             if view {
                 let (since_cores, since_memory) = self.asked_since(m, self.mac.view_at[m] - VIEW_LAG);
-                asked = self.mac.cores[m] - self.mac.view_cores[m] + since_cores - later_cores;
+                asked = self.mac.cores[m] - self.mac.view_cores[m] + since_cores;
                 unasked_memory = self.mac.view_memory[m] - since_memory;
-                if self.mac.memory[m] - unasked_memory + memory > accepts_memory * self.mac.memory[m] {
-                    continue;
-                }
+                asked_memory = self.mac.memory[m] - unasked_memory;
             }
-            if asked + later_cores + cores > accepts_cores * self.mac.cores[m] {
+            if asked + cores > accepts_cores * self.mac.cores[m]
+                || asked_memory + memory > accepts_memory * self.mac.memory[m]
+            {
                 continue;
             }
             let used = self.mac.used_memory[m] + later_memory + memory;
@@ -789,13 +793,22 @@
         )
     }
 
-    /// How well a fitting machine suits: its cores stay calm enough for the framework to be served in full,
+    /// How well a fitting machine suits: few own tasks are yet to start there, as its line of offers and
+    /// starts is short and serial (guards against crowds after mass losses); its cores stay calm enough for the framework to be served in full,
     /// it holds the program (a start takes several times as long without), own others stay calm too.
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
         let cores = self.mac.speed[m] * self.mac.cores[m];
         let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * cores >= ucac;
         let others_calm = self.mac.held[m].iter().all(|&o| calm(self.tasks[o].framework));
-        4 * u8::from(calm(f)) + 2 * u8::from(self.holds_program(m, s)) + u8::from(others_calm)
+        let starting = self.mac.held[m]
+            .iter()
+            .filter(|&&o| self.tasks[o].ran_at == 0)
+            .count();
+        let line_short = starting < LINE;
+        8 * u8::from(line_short)
+            + 4 * u8::from(calm(f))
+            + 2 * u8::from(self.holds_program(m, s))
+            + u8::from(others_calm)
     }
 
     fn priority(&self, f: usize) -> f64 {
