--- a/src/logic.rs
+++ b/src/logic.rs
@@ -80,7 +80,6 @@
     full_until: Vec<i64>,
     full_cores: Vec<f64>,
     pressed_until: Vec<i64>,
-    speed: Vec<f64>,
     probed_at: Vec<i64>,
 }
 
@@ -517,7 +516,14 @@
                 self.use_variance[f] = (1.0 - w) * (self.use_variance[f] + w * off * off);
             }
             3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
-            4 => self.served(now, task, value),
+            // A crowded machine gets nothing new; of its tasks those of higher priority are served worse,
+            // so own others make way for them.
+            4 if value < 0.9 => {
+                self.mac.pressed_until[m] = now + 1_000_000;
+                if self.priority(f) > 0.0 {
+                    self.relieve(m, f, 0.1 * self.mac.cores[m], 0.0);
+                }
+            }
             5 if value > 0.92 => self.mac.pressed_until[m] = now + 1_000_000,
             _ => {}
         }
@@ -529,26 +535,6 @@
         }
     }
 
-    /// How well a task is served tells what the machine's cores are worth: true speeds are not listed.
-    fn served(&mut self, now: i64, task: usize, value: f64) {
-        let (f, m) = (self.tasks[task].framework, self.tasks[task].machine);
-        let calm = self.rule(&format!("familyInfo.calmLevel.{f}"));
-        let busy = calm + self.rule(&format!("familyInfo.fadeSpan.{f}")) * (1.0 - value);
-        let ratio = self.spread_ratio();
-        let c = self.load(m, ratio, self.average_load(ratio)).0;
-        let told = (c / (self.mac.cores[m] * busy)).clamp(0.4, 1.0);
-        if value < 0.95 || told > self.mac.speed[m] {
-            self.mac.speed[m] += 0.3 * (told - self.mac.speed[m]);
-        }
-        if value < 0.9 {
-            self.mac.pressed_until[m] = now + 1_000_000;
-            // A crowded machine serves its tasks of higher priority worse: own others make way.
-            if self.priority(f) > 0.0 {
-                self.relieve(m, f, c - calm * self.mac.speed[m] * self.mac.cores[m], 0.0);
-            }
-        }
-    }
-
     pub fn resolved(
         &mut self,
         now: i64,
@@ -797,8 +783,7 @@
     /// starts is short and serial (guards against crowds after mass losses); its cores stay calm enough for the framework to be served in full,
     /// it holds the program (a start takes several times as long without), own others stay calm too.
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
-        let cores = self.mac.speed[m] * self.mac.cores[m];
-        let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * cores >= ucac;
+        let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * self.mac.cores[m] >= ucac;
         let others_calm = self.mac.held[m].iter().all(|&o| calm(self.tasks[o].framework));
         let starting = self.mac.held[m]
             .iter()
@@ -925,7 +910,6 @@
             for column in room.into_iter().chain(use_) {
                 column.push(0.0);
             }
-            mac.speed.push(1.0);
             mac.held.push(Vec::new());
             mac.kept.push(VecDeque::new());
             mac.sends.push(VecDeque::new());
