--- a/src/logic.rs
+++ b/src/logic.rs
@@ -34,6 +34,25 @@
     Placed,
 }
 
+/// Mean and variance of one task's use, and the notes that they rest on.
+#[derive(Clone, Default)]
+struct Use {
+    mean: f64,
+    variance: f64,
+    notes: f64,
+}
+
+impl Use {
+    /// Each note moves the mean and variance by at least one part in `memory`; `start` notes came before.
+    fn learn(&mut self, value: f64, start: f64, memory: f64) {
+        self.notes += 1.0;
+        let w = (1.0 / (self.notes + start)).max(1.0 / memory);
+        let off = value - self.mean;
+        self.mean += w * off;
+        self.variance = (1.0 - w) * (self.variance + w * off * off);
+    }
+}
+
 #[derive(Default)]
 struct Task {
     stamp: u64,
@@ -58,17 +77,16 @@
 #[derive(Default)]
 struct Machines {
     listed: Vec<bool>,
-    kind: Vec<usize>,
-    zone: Vec<usize>,
-    cell: Vec<usize>,
+    /// Kind, zone and cell.
+    place: Vec<(usize, usize, usize)>,
     started: Vec<i64>,
     cores: Vec<f64>,
     memory: Vec<f64>,
     used_cores: Vec<f64>,
     used_memory: Vec<f64>,
     report_at: Vec<i64>,
-    view_cores: Vec<f64>,
-    view_memory: Vec<f64>,
+    /// Cores and memory that nobody had asked for, as listed.
+    view: Vec<(f64, f64)>,
     view_at: Vec<i64>,
     held: Vec<Vec<usize>>,
     kept: Vec<VecDeque<usize>>,
@@ -79,7 +97,6 @@
     silent: Vec<bool>,
     full_until: Vec<i64>,
     full_cores: Vec<f64>,
-    pressed_until: Vec<i64>,
     probed_at: Vec<i64>,
 }
 
@@ -97,14 +114,9 @@
     list_fails: u32,
     subscribed: bool,
     seen: Vec<bool>,
-    // Services: mean and variance of one task's used cores, and how many notes they rest on.
-    mean: Vec<f64>,
-    variance: Vec<f64>,
-    notes: Vec<f64>,
-    // Frameworks: share of the ask that tasks use (mean, variance), time to start and to be accepted.
-    use_mean: Vec<f64>,
-    use_variance: Vec<f64>,
-    use_notes: Vec<f64>,
+    /// Used cores of one task of each service, and as a share of the ask of each framework.
+    uses: Vec<Use>,
+    shares: Vec<Use>,
     /// Share of the asked memory that tasks use.
     memory_use: f64,
     answer_us: Vec<f64>,
@@ -113,12 +125,8 @@
 
 impl<H: Host> Planner<H> {
     pub fn new(host: H, seed: u64, now: i64, given: Given) -> Self {
-        let frameworks = (0..)
-            .take_while(|i| !text(&given, &format!("classes.{i}.name")).is_empty())
-            .count();
-        let goal = |i: usize| number(&given, &format!("classes.{i}.objectiveUs")).unwrap_or(0.0);
-        let per = |share: f64| (0..frameworks).map(|i| goal(i) * share).collect::<Vec<f64>>();
-        let answer_us = per(0.25);
+        let goal = |i: usize| number(&given, &format!("classes.{i}.objectiveUs"));
+        let answer_us: Vec<f64> = (0..).map_while(goal).map(|us| us * 0.25).collect();
         let mut planner = Planner {
             host,
             given,
@@ -132,12 +140,8 @@
             list_fails: 0,
             subscribed: false,
             seen: Vec::new(),
-            mean: Vec::new(),
-            variance: Vec::new(),
-            notes: Vec::new(),
-            use_mean: vec![1.0; frameworks],
-            use_variance: vec![0.25; frameworks],
-            use_notes: vec![0.0; frameworks],
+            uses: Vec::new(),
+            shares: vec![Use::default(); answer_us.len()],
             memory_use: 0.7,
             answer_us,
             mac: Machines::default(),
@@ -182,11 +186,10 @@
         }
         self.seen[m] = true;
         self.mac.listed[m] = readiness == Readiness::Ready;
-        (self.mac.kind[m], self.mac.zone[m], self.mac.cell[m]) = (kind, zone, cell);
+        self.mac.place[m] = (kind, zone, cell);
         self.mac.cores[m] = self.rule(&format!("familyInfo.cpuOfKind.{kind}"));
         self.mac.memory[m] = self.rule(&format!("familyInfo.sizeMemory.{kind}"));
-        self.mac.view_cores[m] = cores_left;
-        self.mac.view_memory[m] = memory_left;
+        self.mac.view[m] = (cores_left, memory_left);
         self.mac.view_at[m] = now;
         if started > self.mac.started[m] {
             // A newer start: a cold machine with empty hands.
@@ -239,19 +242,9 @@
         memory: f64,
         time_left: i64,
     ) {
-        let (phase, limit_at, born_at) = (Phase::Waiting, now + time_left, now);
-        let fresh = Task {
-            phase,
-            framework,
-            tenant,
-            service,
-            cores,
-            memory,
-            born_at,
-            limit_at,
-            ..Task::default()
-        };
-        self.enter(task, fresh);
+        self.enter(task, framework, tenant, service, cores, memory);
+        let t = &mut self.tasks[task];
+        (t.phase, t.born_at, t.limit_at) = (Phase::Waiting, now, now + time_left);
         if !self.place(now, task) {
             self.wait(now, task);
         }
@@ -269,61 +262,43 @@
         m: usize,
     ) {
         self.know_machine(m);
+        self.enter(task, framework, tenant, service, cores, memory);
+        let t = &mut self.tasks[task];
+        (t.phase, t.machine, t.launches) = (Phase::Placed, m, 1);
         // It runs already, so that reports contain it; it counts as launch 0.
-        let (phase, machine, launches, sent_at, ran_at) = (Phase::Placed, m, 1, now, now - REPORT_LAG);
-        let fresh = Task {
-            phase,
-            framework,
-            tenant,
-            service,
-            cores,
-            memory,
-            machine,
-            ..Task::default()
-        };
-        self.enter(
-            task,
-            Task {
-                launches,
-                sent_at,
-                ran_at,
-                ..fresh
-            },
-        );
+        (t.sent_at, t.ran_at) = (now, now - REPORT_LAG);
         self.mac.held[m].push(task);
     }
 
-    fn enter(&mut self, task: usize, mut fresh: Task) {
-        self.stamp += 1;
-        fresh.stamp = self.stamp;
-        let (f, s, cores) = (fresh.framework, fresh.service, fresh.cores);
-        if s >= self.mean.len() {
-            self.mean.resize(s + 1, 0.0);
-            self.variance.resize(s + 1, 0.0);
-            self.notes.resize(s + 1, 0.0);
-        }
-        if self.notes[s] == 0.0 {
+    fn enter(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, cores: f64, memory: f64) {
+        if s >= self.uses.len() {
+            self.uses.resize(s + 1, Use::default());
+        }
+        if self.uses[s].notes == 0.0 {
             // The ask and a quarter of its square, until some notes of the framework tell better.
-            let told = self.use_notes[f] >= 4.0;
-            let (mean, variance) = if told {
-                (self.use_mean[f], self.use_variance[f])
+            let told = (self.shares[f].mean, self.shares[f].variance);
+            let (mean, variance) = if self.shares[f].notes >= 4.0 {
+                told
             } else {
                 (1.0, 0.25)
             };
-            (self.mean[s], self.variance[s]) = (cores * mean, cores * cores * variance);
+            (self.uses[s].mean, self.uses[s].variance) = (cores * mean, cores * cores * variance);
         }
         if task == self.tasks.len() {
-            self.tasks.push(fresh);
-        } else {
-            self.tasks[task] = fresh;
+            self.tasks.push(Task::default());
         }
+        self.stamp += 1;
+        let t = &mut self.tasks[task];
+        *t = Task::default();
+        (t.stamp, t.framework, t.tenant, t.service) = (self.stamp, f, tenant, s);
+        (t.cores, t.memory) = (cores, memory);
     }
 
     /// The ordinary path: filter, mean plus margin, the fullest fitting machine, launch. False: it waits.
     fn place(&mut self, now: i64, task: usize) -> bool {
         let t = &self.tasks[task];
         let (f, s, cores, memory) = (t.framework, t.service, t.cores, t.memory);
-        let (mu, b) = (self.mean[s], self.variance[s]);
+        let (mu, b) = (self.uses[s].mean, self.uses[s].variance);
         // Waiting costs more than a thin margin: it melts away as the latency goal passes.
         let ease = ((now - t.born_at) as f64 / self.per(f, "objectiveUs").max(1.0)).min(1.0);
         let accepts_cores = self.rule("familyInfo.admitCores");
@@ -342,13 +317,13 @@
             let ucac = c + mu + D * (big_b + b).sqrt();
             let over_cores = c + mu + (1.0 - ease) * D * (big_b + b).sqrt() - HEADROOM * self.mac.cores[m];
             // All that a machine has accepted: listed late, or else told by what is used.
-            let mut asked = self.mac.used_cores[m] / self.use_mean[f].max(0.1) + later_cores;
+            let mut asked = self.mac.used_cores[m] / self.share_used(f) + later_cores;
             let mut asked_memory = 0.0;
             let mut unasked_memory = 0.0;
             if view {
                 let (since_cores, since_memory) = self.asked_since(m, self.mac.view_at[m] - VIEW_LAG);
-                asked = self.mac.cores[m] - self.mac.view_cores[m] + since_cores;
-                unasked_memory = self.mac.view_memory[m] - since_memory;
+                asked = self.mac.cores[m] - self.mac.view[m].0 + since_cores;
+                unasked_memory = self.mac.view[m].1 - since_memory;
                 asked_memory = self.mac.memory[m] - unasked_memory;
             }
             if asked + cores > accepts_cores * self.mac.cores[m]
@@ -357,18 +332,19 @@
                 continue;
             }
             let used = self.mac.used_memory[m] + later_memory + memory;
-            let mut over_memory = used - MEMORY_SHARE * self.mac.memory[m];
-            if memory <= unasked_memory {
-                over_memory = 0.0;
-            }
+            let over_memory = used - MEMORY_SHARE * self.mac.memory[m];
+            let over_memory = if memory <= unasked_memory {
+                0.0
+            } else {
+                over_memory
+            };
             if over_cores <= 0.0 && over_memory <= 0.0 {
                 fits.push((m, ucac, self.suits(m, f, s, ucac)));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
-                let line = self.movable(m, f);
-                let free: f64 = line.iter().map(|&o| self.mean[self.tasks[o].service]).sum();
-                let free_memory = line.iter().map(|&o| self.tasks[o].memory).sum::<f64>() * self.memory_use;
-                let loss =
-                    over_cores.max(0.0) / self.mac.cores[m] + over_memory.max(0.0) / self.mac.memory[m];
+                let line = || self.movable(m, f).into_iter().map(|o| &self.tasks[o]);
+                let free: f64 = line().map(|t| self.uses[t.service].mean).sum();
+                let free_memory = line().map(|t| t.memory).sum::<f64>() * self.memory_use;
+                let loss = (over_cores / self.mac.cores[m]).max(over_memory / self.mac.memory[m]);
                 if free >= over_cores && free_memory >= over_memory && loss < room.0 {
                     room = (loss, m, over_cores, over_memory);
                 }
@@ -394,21 +370,25 @@
         t.launches += 1;
         self.mac.held[m].push(task);
         self.mac.sends[m].push_back(now);
+        while self.mac.sends[m].front().is_some_and(|&at| at < now - 10_000_000) {
+            self.mac.sends[m].pop_front();
+        }
         self.host.launch(task, m, patience);
         true
     }
 
     /// The rules and the health of machines, before any fit.
-    fn may_send(&mut self, now: i64, task: usize, m: usize) -> bool {
+    fn may_send(&self, now: i64, task: usize, m: usize) -> bool {
         let t = &self.tasks[task];
         let (f, s) = (t.framework, t.service);
         let kind = self.rule(&format!("familyInfo.classKind.{f}"));
-        if !self.mac.listed[m] || (kind >= 0.0 && kind as usize != self.mac.kind[m]) || t.tried.contains(&m) {
+        if !self.mac.listed[m]
+            || (kind >= 0.0 && kind as usize != self.mac.place[m].0)
+            || t.tried.contains(&m)
+        {
             return false;
         }
-        if now < self.mac.full_until[m] && t.cores >= self.mac.full_cores[m]
-            || now < self.mac.pressed_until[m]
-        {
+        if now < self.mac.full_until[m] && t.cores >= self.mac.full_cores[m] {
             return false;
         }
         if !self.list_holds(now) || !self.group_allows(now, task, m) {
@@ -418,25 +398,21 @@
         if now < self.mac.shun_until[m] {
             return false;
         }
-        if self.mac.ailing[m] > 0.2
-            && self.mac.held[m]
-                .iter()
-                .any(|&o| self.tasks[o].phase == Phase::Out)
-        {
+        if self.mac.ailing[m] > 0.2 && self.own(m).any(|t| t.phase == Phase::Out) {
             return false;
         }
         let most = self.rule(&format!("familyInfo.mostTogether.{f}")) as usize;
         let place = text(&self.given, &format!("familyInfo.classSpread.{f}"));
         let together = |o: usize| match place {
             "machine" => o == m,
-            "cell" => self.mac.cell[o] == self.mac.cell[m],
-            "zone" => self.mac.zone[o] == self.mac.zone[m],
+            "cell" => self.mac.place[o].2 == self.mac.place[m].2,
+            "zone" => self.mac.place[o].1 == self.mac.place[m].1,
             _ => false,
         };
         let here = (0..self.mac.listed.len())
             .filter(|&o| together(o))
-            .flat_map(|o| &self.mac.held[o]);
-        if here.filter(|&&o| self.tasks[o].service == s).count() >= most && !matches!(place, "" | "none") {
+            .flat_map(|o| self.own(o));
+        if !matches!(place, "" | "none") && here.filter(|t| t.service == s).count() >= most {
             return false;
         }
         self.cold_budget_allows(now, m)
@@ -444,13 +420,11 @@
 
     /// A cold machine always bears some offers in each window; this planner keeps to its even part of
     /// them, and after its own start counts them as spent for a window, not knowing what it sent before.
-    fn cold_budget_allows(&mut self, now: i64, m: usize) -> bool {
+    fn cold_budget_allows(&self, now: i64, m: usize) -> bool {
         let window = self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64;
-        while self.mac.sends[m].front().is_some_and(|&at| at <= now - window) {
-            self.mac.sends[m].pop_front();
-        }
         let part = (self.rule("familyInfo.coldSends") / self.rule("nInstances").max(1.0)) as usize;
-        now >= self.mac.cold_until[m] || (now >= self.born_at + window && self.mac.sends[m].len() < part)
+        let sent = self.mac.sends[m].iter().filter(|&&at| at > now - window).count();
+        now >= self.mac.cold_until[m] || (now >= self.born_at + window && sent < part)
     }
 
     /// Rule 2: where a launch may have run, a further one must be harmless.
@@ -461,8 +435,8 @@
             "retryable" => return true,
             "dedup" => match text(&self.given, &format!("classes.{}.group", t.framework)) {
                 "all" => true,
-                "zone" => self.mac.zone[first] == self.mac.zone[m],
-                _ => self.mac.cell[first] == self.mac.cell[m],
+                "zone" => self.mac.place[first].1 == self.mac.place[m].1,
+                _ => self.mac.place[first].2 == self.mac.place[m].2,
             },
             _ => false,
         };
@@ -474,11 +448,8 @@
     fn patience(&self, now: i64, task: usize) -> i64 {
         let t = &self.tasks[task];
         let left = t.limit_at - now;
-        let share = if text(&self.given, "familyInfo.yesAt") == "running" {
-            0.5
-        } else {
-            0.25
-        };
+        let at_start = text(&self.given, "familyInfo.yesAt") == "running";
+        let share = if at_start { 0.5 } else { 0.25 };
         let usual = (self.per(t.framework, "deadlineUs") * share).max(4.0 * self.answer_us[t.framework]);
         left.min(usual as i64)
     }
@@ -504,27 +475,13 @@
         match sort {
             1 => self.runs(now, task),
             2 => {
-                self.notes[s] += 1.0;
-                let w = (1.0 / (self.notes[s] + 1.0)).max(1.0 / 32.0);
-                let off = value - self.mean[s];
-                self.mean[s] += w * off;
-                self.variance[s] = (1.0 - w) * (self.variance[s] + w * off * off);
-                self.use_notes[f] += 1.0;
-                let w = (1.0 / self.use_notes[f]).max(1.0 / 256.0);
-                let off = value / t.cores.max(0.001) - self.use_mean[f];
-                self.use_mean[f] += w * off;
-                self.use_variance[f] = (1.0 - w) * (self.use_variance[f] + w * off * off);
+                let share = value / t.cores.max(0.001);
+                self.uses[s].learn(value, 1.0, 32.0);
+                self.shares[f].learn(share, 0.0, 256.0);
             }
             3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
-            // A crowded machine gets nothing new; of its tasks those of higher priority are served worse,
-            // so own others make way for them.
-            4 if value < 0.9 => {
-                self.mac.pressed_until[m] = now + 1_000_000;
-                if self.priority(f) > 0.0 {
-                    self.relieve(m, f, 0.1 * self.mac.cores[m], 0.0);
-                }
-            }
-            5 if value > 0.92 => self.mac.pressed_until[m] = now + 1_000_000,
+            // A crowded machine serves its tasks of higher priority worse: own others make way for them.
+            4 if value < 0.9 && self.priority(f) > 0.0 => self.relieve(m, f, 0.1 * self.mac.cores[m], 0.0),
             _ => {}
         }
     }
@@ -544,15 +501,11 @@
         over: bool,
         report: &[f64],
     ) {
-        let (m, phase, sent_at) = (
-            self.tasks[task].machine,
-            self.tasks[task].phase,
-            self.tasks[task].sent_at,
-        );
+        let t = &self.tasks[task];
+        let (m, s, phase, sent_at, ran_at) = (t.machine, t.service, t.phase, t.sent_at, t.ran_at);
         self.mac.held[m].retain(|&o| o != task);
         self.read_report(now, m, report);
-        if self.tasks[task].ran_at > 0 {
-            let s = self.tasks[task].service;
+        if ran_at > 0 {
             self.mac.kept[m].retain(|&k| k != s);
             self.mac.kept[m].push_back(s);
             if self.mac.kept[m].len() > KEPT {
@@ -574,7 +527,6 @@
             Outcome::TimedOut => self.fails(now, m, 0.5, true),
             Outcome::Error => self.fails(now, m, 0.3, false),
             Outcome::Reset if phase == Phase::Out || why == 0 => self.fails(now, m, 0.3, true),
-            Outcome::Reset if why == 5 => self.mac.pressed_until[m] = now + 2_000_000,
             _ => {}
         }
         let t = &mut self.tasks[task];
@@ -652,7 +604,7 @@
             let by_age = self.tasks[a].stamp.cmp(&self.tasks[b].stamp);
             value(b).total_cmp(&value(a)).then(by_age)
         });
-        let mut least = vec![f64::MAX; self.use_mean.len()];
+        let mut least = vec![f64::MAX; self.shares.len()];
         for task in line {
             let (f, cores) = (self.tasks[task].framework, self.tasks[task].cores);
             if self.too_late(now, task) {
@@ -753,16 +705,12 @@
     fn load(&self, m: usize, ratio: f64, average: (f64, f64)) -> (f64, f64, f64, f64) {
         let (mut known, mut later, mut b) = (0.0, 0.0, 0.0);
         let (mut later_cores, mut later_memory) = (0.0, 0.0);
-        for t in self.mac.held[m]
-            .iter()
-            .map(|&o| &self.tasks[o])
-            .filter(|t| t.sent_at >= self.mac.started[m])
-        {
-            b += self.variance[t.service];
+        for t in self.own(m).filter(|t| t.sent_at >= self.mac.started[m]) {
+            b += self.uses[t.service].variance;
             if t.ran_at > 0 && t.ran_at + REPORT_LAG <= self.mac.report_at[m] {
-                known += self.mean[t.service];
+                known += self.uses[t.service].mean;
             } else {
-                later += self.mean[t.service];
+                later += self.uses[t.service].mean;
                 later_cores += t.cores;
                 later_memory += t.memory;
             }
@@ -779,21 +727,25 @@
         )
     }
 
-    /// How well a fitting machine suits: few own tasks are yet to start there, as its line of offers and
-    /// starts is short and serial (guards against crowds after mass losses); its cores stay calm enough for the framework to be served in full,
-    /// it holds the program (a start takes several times as long without), own others stay calm too.
+    /// How well a fitting machine suits. Few own tasks are yet to start there: its line of offers and starts
+    /// is short and serial, and crowds form after mass losses. Its cores stay calm enough for the framework
+    /// to be served in full. It holds the program, as a start takes several times as long without. Own
+    /// tasks of other frameworks stay calm too.
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
         let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * self.mac.cores[m] >= ucac;
-        let others_calm = self.mac.held[m].iter().all(|&o| calm(self.tasks[o].framework));
-        let starting = self.mac.held[m]
-            .iter()
-            .filter(|&&o| self.tasks[o].ran_at == 0)
-            .count();
-        let line_short = starting < LINE;
-        8 * u8::from(line_short)
-            + 4 * u8::from(calm(f))
-            + 2 * u8::from(self.holds_program(m, s))
-            + u8::from(others_calm)
+        let short = self.own(m).filter(|t| t.ran_at == 0).count() < LINE;
+        let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
+        let program = self.own(m).any(runs) || self.mac.kept[m].contains(&s);
+        let others = self.own(m).all(|t| calm(t.framework));
+        8 * u8::from(short) + 4 * u8::from(calm(f)) + 2 * u8::from(program) + u8::from(others)
+    }
+
+    fn share_used(&self, f: usize) -> f64 {
+        if self.shares[f].notes > 0.0 {
+            self.shares[f].mean.max(0.1)
+        } else {
+            1.0
+        }
     }
 
     fn priority(&self, f: usize) -> f64 {
@@ -807,27 +759,20 @@
                 && self.priority(t.framework) < self.priority(f)
                 && text(&self.given, &format!("classes.{}.semantics", t.framework)) == "retryable"
         };
-        self.mac.held[m]
-            .iter()
-            .copied()
-            .filter(|&o| gives_way(&self.tasks[o]))
-            .collect()
+        let held = self.mac.held[m].iter().copied();
+        held.filter(|&o| gives_way(&self.tasks[o])).collect()
     }
 
     /// Moves own tasks off a machine, the largest first, until they free so many cores and memory units.
     fn relieve(&mut self, m: usize, f: usize, mut cores: f64, mut memory: f64) {
         let mut line = self.movable(m, f);
-        line.sort_by(|&a, &b| {
-            self.tasks[b]
-                .cores
-                .total_cmp(&self.tasks[a].cores)
-                .then(a.cmp(&b))
-        });
+        let size = |o: usize| self.tasks[o].cores;
+        line.sort_by(|&a, &b| size(b).total_cmp(&size(a)).then(a.cmp(&b)));
         for o in line {
             if cores <= 0.0 && memory <= 0.0 {
                 return;
             }
-            cores -= self.mean[self.tasks[o].service];
+            cores -= self.uses[self.tasks[o].service].mean;
             memory -= self.tasks[o].memory * self.memory_use;
             self.tasks[o].phase = Phase::Over;
             self.host.move_task(o);
@@ -836,14 +781,13 @@
 
     /// Mean variance-to-mean ratio of the known services.
     fn spread_ratio(&self) -> f64 {
-        let known = || (0..self.mean.len()).filter(|&s| self.notes[s] > 0.0 && self.mean[s] > 0.0);
-        let sum: f64 = known().map(|s| self.variance[s] / self.mean[s]).sum();
-        sum / known().count().max(1) as f64
+        let known = || self.uses.iter().filter(|u| u.notes > 0.0 && u.mean > 0.0);
+        known().map(|u| u.variance / u.mean).sum::<f64>() / known().count().max(1) as f64
     }
 
     fn average_load(&self, ratio: f64) -> (f64, f64) {
-        let reported =
-            || (0..self.mac.listed.len()).filter(|&m| self.mac.listed[m] && self.mac.report_at[m] > 0);
+        let mac = &self.mac;
+        let reported = || (0..mac.listed.len()).filter(|&m| mac.listed[m] && mac.report_at[m] > 0);
         let n = reported().count().max(1) as f64;
         let sum = reported().map(|m| self.load(m, ratio, (0.0, 0.0)));
         let (c, b) = sum.fold((0.0, 0.0), |acc, x| (acc.0 + x.0, acc.1 + x.1));
@@ -851,16 +795,13 @@
     }
 
     fn asked_since(&self, m: usize, since: i64) -> (f64, f64) {
-        let late = self.mac.held[m]
-            .iter()
-            .map(|&o| &self.tasks[o])
-            .filter(|t| t.sent_at > since);
+        let late = self.own(m).filter(|t| t.sent_at > since);
         late.fold((0.0, 0.0), |acc, t| (acc.0 + t.cores, acc.1 + t.memory))
     }
 
-    fn holds_program(&self, m: usize, s: usize) -> bool {
-        let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
-        self.mac.held[m].iter().any(|&o| runs(&self.tasks[o])) || self.mac.kept[m].contains(&s)
+    /// Tasks with a launch on a machine that has no outcome yet.
+    fn own(&self, m: usize) -> impl Iterator<Item = &Task> {
+        self.mac.held[m].iter().map(|&o| &self.tasks[o])
     }
 
     fn rule(&self, name: &str) -> f64 {
@@ -874,45 +815,24 @@
     fn know_machine(&mut self, m: usize) {
         let mac = &mut self.mac;
         while mac.listed.len() <= m {
-            for column in [&mut mac.listed, &mut mac.silent] {
-                column.push(false);
-            }
-            for column in [&mut mac.kind, &mut mac.zone, &mut mac.cell] {
-                column.push(0);
-            }
-            let times = [
-                &mut mac.started,
-                &mut mac.report_at,
-                &mut mac.view_at,
+            mac.listed.push(false);
+            mac.silent.push(false);
+            mac.place.push((0, 0, 0));
+            mac.view.push((0.0, 0.0));
+            mac.held.push(Vec::new());
+            mac.kept.push(VecDeque::new());
+            mac.sends.push(VecDeque::new());
+            let a = [&mut mac.started, &mut mac.report_at, &mut mac.view_at];
+            let b = [
                 &mut mac.cold_until,
-            ];
-            let until = [
                 &mut mac.shun_until,
                 &mut mac.full_until,
-                &mut mac.pressed_until,
                 &mut mac.probed_at,
             ];
-            for column in times.into_iter().chain(until) {
-                column.push(0);
-            }
-            let room = [
-                &mut mac.cores,
-                &mut mac.memory,
-                &mut mac.view_cores,
-                &mut mac.view_memory,
-            ];
-            let use_ = [
-                &mut mac.used_cores,
-                &mut mac.used_memory,
-                &mut mac.ailing,
-                &mut mac.full_cores,
-            ];
-            for column in room.into_iter().chain(use_) {
-                column.push(0.0);
-            }
-            mac.held.push(Vec::new());
-            mac.kept.push(VecDeque::new());
-            mac.sends.push(VecDeque::new());
+            a.into_iter().chain(b).for_each(|times| times.push(0));
+            let a = [&mut mac.cores, &mut mac.memory, &mut mac.used_cores];
+            let b = [&mut mac.used_memory, &mut mac.ailing, &mut mac.full_cores];
+            a.into_iter().chain(b).for_each(|figures| figures.push(0.0));
         }
     }
 }
