Crowded machines bear small tasks once a third of the latency goal is gone

Cause: when no machine fits, small tasks waited past their latency goal, which costs more than slow service.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,6 +22,8 @@
 const KEPT: usize = 6;
 /// Own tasks yet to start that a machine may have before others go first.
 const LINE: usize = 6;
+/// Share of the latency goal over which a waiting task's margin melts.
+const EASE: f64 = 0.3;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -299,8 +301,11 @@
         let t = &self.tasks[task];
         let (f, s, cores, memory) = (t.framework, t.service, t.cores, t.memory);
         let (mu, b) = (self.uses[s].mean, self.uses[s].variance);
-        // Waiting costs more than a thin margin: it melts away as the latency goal passes.
-        let ease = ((now - t.born_at) as f64 / self.per(f, "objectiveUs").max(1.0)).min(1.0);
+        // Waiting costs more than a thin margin: it melts away early in the latency goal. From then on a
+        // task that crowding only slows is better started on the least crowded machine than late.
+        let ease = ((now - t.born_at) as f64 / (EASE * self.per(f, "objectiveUs")).max(1.0)).min(1.0);
+        let fade = self.rule(&format!("familyInfo.fadeSpan.{f}"));
+        let bears = self.rule(&format!("familyInfo.calmLevel.{f}")) + 0.5 * fade - HEADROOM;
         let accepts_cores = self.rule("familyInfo.admitCores");
         let accepts_memory = self.rule("familyInfo.admitMemory");
         let view = self.rule("familyInfo.view") > 0.0;
@@ -308,6 +313,7 @@
         let average = self.average_load(ratio);
         // Fits: machine, UCaC after the bind, how well it suits.
         let mut fits: Vec<(usize, f64, u8)> = Vec::new();
+        let mut crowded = Vec::new();
         let mut room = (f64::MAX, 0, 0.0, 0.0);
         for m in 0..self.mac.listed.len() {
             if !self.may_send(now, task, m) {
@@ -340,6 +346,8 @@
             };
             if over_cores <= 0.0 && over_memory <= 0.0 {
                 fits.push((m, ucac, self.suits(m, f, s, ucac)));
+            } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
+                crowded.push((m, -over_cores / self.mac.cores[m], 0));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
                 let line = || self.movable(m, f).into_iter().map(|o| &self.tasks[o]);
                 let free: f64 = line().map(|t| self.uses[t.service].mean).sum();
@@ -350,6 +358,9 @@
                 }
             }
         }
+        if fits.is_empty() {
+            fits = crowded;
+        }
         // Of the fitting machines those that suit best, of these the fullest.
         let best = fits.iter().map(|x| x.2).max().unwrap_or(0);
         fits.retain(|x| x.2 == best);
