--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,6 +24,8 @@
 const LINE: usize = 6;
 /// Share of the latency goal over which a waiting task's margin melts.
 const EASE: f64 = 0.3;
+/// Served below this share, a task is better off moved.
+const POOR: f64 = 0.4;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -349,7 +351,8 @@
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
                 crowded.push((m, -over_cores / self.mac.cores[m], 0));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
-                let line = || self.movable(m, f).into_iter().map(|o| &self.tasks[o]);
+                let line = self.movable(m, |p| p < self.priority(f));
+                let line = || line.iter().map(|&o| &self.tasks[o]);
                 let free: f64 = line().map(|t| self.uses[t.service].mean).sum();
                 let free_memory = line().map(|t| t.memory).sum::<f64>() * self.memory_use;
                 let loss = (over_cores / self.mac.cores[m]).max(over_memory / self.mac.memory[m]);
@@ -370,7 +373,8 @@
             fits[self.chance.usize(0..fits.len())].0
         } else if room.0 < f64::MAX {
             // No machine fits a task of higher priority: room is made where the least must move.
-            self.relieve(room.1, f, room.2, room.3);
+            let line = self.movable(room.1, |p| p < self.priority(f));
+            self.relieve(line, room.2, room.3);
             room.1
         } else {
             return false;
@@ -442,7 +446,7 @@
     fn group_allows(&self, now: i64, task: usize, m: usize) -> bool {
         let t = &self.tasks[task];
         let Some((first, at)) = t.unsure else { return true };
-        let kept = match text(&self.given, &format!("classes.{}.semantics", t.framework)) {
+        let kept = match self.semantics(t.framework) {
             "retryable" => return true,
             "dedup" => match text(&self.given, &format!("classes.{}.group", t.framework)) {
                 "all" => true,
@@ -491,8 +495,19 @@
                 self.shares[f].learn(share, 0.0, 256.0);
             }
             3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
-            // A crowded machine serves its tasks of higher priority worse: own others make way for them.
-            4 if value < 0.9 && self.priority(f) > 0.0 => self.relieve(m, f, 0.1 * self.mac.cores[m], 0.0),
+            // Served poorly, from whatever cause: own tasks of lower priority make way; where there are none
+            // and it is bad, some of its own rank leave, as far as other machines have cores for them.
+            4 if value < 0.9 => {
+                let mut cores = 0.1 * self.mac.cores[m];
+                let line = self.movable(m, |p| p < self.priority(f));
+                if !line.is_empty() {
+                    self.relieve(line, cores, 0.0);
+                } else if value < POOR {
+                    cores = cores.min(0.5 * self.slack(now, m));
+                    let line = self.movable(m, |p| p == self.priority(f));
+                    self.relieve(line, cores, 0.0);
+                }
+            }
             _ => {}
         }
     }
@@ -595,9 +610,13 @@
     fn give_up(&mut self, task: usize) {
         let t = &mut self.tasks[task];
         t.phase = Phase::Over;
-        let semantics = text(&self.given, &format!("classes.{}.semantics", t.framework));
-        let group = text(&self.given, &format!("classes.{}.group", t.framework));
-        if t.unsure.is_none() || semantics == "retryable" || (semantics == "dedup" && group == "all") {
+        let f = t.framework;
+        let semantics = self.semantics(f);
+        let group = text(&self.given, &format!("classes.{f}.group"));
+        if self.tasks[task].unsure.is_none()
+            || semantics == "retryable"
+            || (semantics == "dedup" && group == "all")
+        {
             self.host.decline(task, 0);
         } else {
             self.host.abort(task);
@@ -759,24 +778,31 @@
         }
     }
 
+    fn semantics(&self, f: usize) -> &str {
+        text(&self.given, &format!("classes.{f}.semantics"))
+    }
+
     fn priority(&self, f: usize) -> f64 {
         self.rule(&format!("familyInfo.priorityByClass.{f}"))
     }
 
-    /// Own placed tasks on a machine that give way to a framework: of lower priority, free to run again.
-    fn movable(&self, m: usize, f: usize) -> Vec<usize> {
-        let gives_way = |t: &Task| {
-            t.phase == Phase::Placed
-                && self.priority(t.framework) < self.priority(f)
-                && text(&self.given, &format!("classes.{}.semantics", t.framework)) == "retryable"
-        };
+    /// Own placed tasks on a machine, of such priorities, that may be stopped and run again.
+    fn movable(&self, m: usize, of: impl Fn(f64) -> bool) -> Vec<usize> {
         let held = self.mac.held[m].iter().copied();
-        held.filter(|&o| gives_way(&self.tasks[o])).collect()
+        let may = |t: &Task| t.phase == Phase::Placed && of(self.priority(t.framework));
+        held.filter(|&o| may(&self.tasks[o]) && self.semantics(self.tasks[o].framework) != "fragile")
+            .collect()
+    }
+
+    /// Cores that other machines in good health have left.
+    fn slack(&self, now: i64, m: usize) -> f64 {
+        let left = |o: usize| (self.mac.cores[o] - self.mac.used_cores[o]).max(0.0);
+        let fit = |&o: &usize| o != m && self.mac.listed[o] && now >= self.mac.shun_until[o];
+        (0..self.mac.listed.len()).filter(fit).map(left).sum()
     }
 
-    /// Moves own tasks off a machine, the largest first, until they free so many cores and memory units.
-    fn relieve(&mut self, m: usize, f: usize, mut cores: f64, mut memory: f64) {
-        let mut line = self.movable(m, f);
+    /// Moves tasks, the largest first, until they free so many cores and memory units.
+    fn relieve(&mut self, mut line: Vec<usize>, mut cores: f64, mut memory: f64) {
         let size = |o: usize| self.tasks[o].cores;
         line.sort_by(|&a, &b| size(b).total_cmp(&size(a)).then(a.cmp(&b)));
         for o in line {
