--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,8 +24,6 @@
 const LINE: usize = 6;
 /// Share of the latency goal over which a waiting task's margin melts.
 const EASE: f64 = 0.3;
-/// Served below this share, a task is better off moved.
-const POOR: f64 = 0.4;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -100,7 +98,6 @@
     shun_until: Vec<i64>,
     silent: Vec<bool>,
     full_until: Vec<i64>,
-    full_cores: Vec<f64>,
     probed_at: Vec<i64>,
 }
 
@@ -130,7 +127,7 @@
 impl<H: Host> Planner<H> {
     pub fn new(host: H, seed: u64, now: i64, given: Given) -> Self {
         let goal = |i: usize| number(&given, &format!("classes.{i}.objectiveUs"));
-        let answer_us: Vec<f64> = (0..).map_while(goal).map(|us| us * 0.25).collect();
+        let answer_us: Vec<f64> = (0..).map_while(goal).map(|us| us * 0.5).collect();
         let mut planner = Planner {
             host,
             given,
@@ -351,7 +348,7 @@
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
                 crowded.push((m, -over_cores / self.mac.cores[m], 0));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
-                let line = self.movable(m, |p| p < self.priority(f));
+                let line = self.movable(m, f);
                 let line = || line.iter().map(|&o| &self.tasks[o]);
                 let free: f64 = line().map(|t| self.uses[t.service].mean).sum();
                 let free_memory = line().map(|t| t.memory).sum::<f64>() * self.memory_use;
@@ -373,7 +370,7 @@
             fits[self.chance.usize(0..fits.len())].0
         } else if room.0 < f64::MAX {
             // No machine fits a task of higher priority: room is made where the least must move.
-            let line = self.movable(room.1, |p| p < self.priority(f));
+            let line = self.movable(room.1, f);
             self.relieve(line, room.2, room.3);
             room.1
         } else {
@@ -403,7 +400,7 @@
         {
             return false;
         }
-        if now < self.mac.full_until[m] && t.cores >= self.mac.full_cores[m] {
+        if now < self.mac.full_until[m] {
             return false;
         }
         if !self.list_holds(now) || !self.group_allows(now, task, m) {
@@ -459,14 +456,11 @@
         kept && now + travel < at + self.per(t.framework, "windowUs") as i64
     }
 
-    /// How long a launch may go without an answer.
+    /// How long a launch may go without an answer: several times the usual, half of the limit at least.
     fn patience(&self, now: i64, task: usize) -> i64 {
         let t = &self.tasks[task];
-        let left = t.limit_at - now;
-        let at_start = text(&self.given, "familyInfo.yesAt") == "running";
-        let share = if at_start { 0.5 } else { 0.25 };
-        let usual = (self.per(t.framework, "deadlineUs") * share).max(4.0 * self.answer_us[t.framework]);
-        left.min(usual as i64)
+        let usual = (0.5 * self.per(t.framework, "deadlineUs")).max(4.0 * self.answer_us[t.framework]);
+        (t.limit_at - now).min(usual as i64)
     }
 
     pub fn accepted(&mut self, now: i64, task: usize, _launch: u32) {
@@ -495,18 +489,10 @@
                 self.shares[f].learn(share, 0.0, 256.0);
             }
             3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
-            // Served poorly, from whatever cause: own tasks of lower priority make way; where there are none
-            // and it is bad, some of its own rank leave, as far as other machines have cores for them.
+            // Served poorly, from whatever cause: own tasks of lower priority make way.
             4 if value < 0.9 => {
-                let mut cores = 0.1 * self.mac.cores[m];
-                let line = self.movable(m, |p| p < self.priority(f));
-                if !line.is_empty() {
-                    self.relieve(line, cores, 0.0);
-                } else if value < POOR {
-                    cores = cores.min(0.5 * self.slack(now, m));
-                    let line = self.movable(m, |p| p == self.priority(f));
-                    self.relieve(line, cores, 0.0);
-                }
+                let line = self.movable(m, f);
+                self.relieve(line, 0.1 * self.mac.cores[m], 0.0);
             }
             _ => {}
         }
@@ -539,18 +525,12 @@
             }
         }
         match outcome {
+            // No room: others may fit where this one did not, but not at once. A line of offers clears soon.
             Outcome::Full => {
-                let t = &self.tasks[task];
-                let (wait, cores) = match why {
-                    1 | 2 => (1_000_000, t.cores),
-                    3 => (300_000, 0.0),
-                    _ => (1_000_000, 0.0),
-                };
-                (self.mac.full_until[m], self.mac.full_cores[m]) = (now + wait, cores);
+                self.mac.full_until[m] = now + if why == 3 { 300_000 } else { 1_000_000 };
                 self.works(now, m);
             }
-            Outcome::ConnectFailed => self.fails(now, m, 0.5, true),
-            Outcome::TimedOut => self.fails(now, m, 0.5, true),
+            Outcome::ConnectFailed | Outcome::TimedOut => self.fails(now, m, 0.5, true),
             Outcome::Error => self.fails(now, m, 0.3, false),
             Outcome::Reset if phase == Phase::Out || why == 0 => self.fails(now, m, 0.3, true),
             _ => {}
@@ -786,21 +766,18 @@
         self.rule(&format!("familyInfo.priorityByClass.{f}"))
     }
 
-    /// Own placed tasks on a machine, of such priorities, that may be stopped and run again.
-    fn movable(&self, m: usize, of: impl Fn(f64) -> bool) -> Vec<usize> {
-        let held = self.mac.held[m].iter().copied();
-        let may = |t: &Task| t.phase == Phase::Placed && of(self.priority(t.framework));
-        held.filter(|&o| may(&self.tasks[o]) && self.semantics(self.tasks[o].framework) != "fragile")
+    /// Own placed tasks on a machine that give way to a framework: of lower priority, free to run again.
+    fn movable(&self, m: usize, f: usize) -> Vec<usize> {
+        let below = |t: &Task| self.priority(t.framework) < self.priority(f);
+        let may =
+            |t: &Task| t.phase == Phase::Placed && below(t) && self.semantics(t.framework) == "retryable";
+        self.mac.held[m]
+            .iter()
+            .copied()
+            .filter(|&o| may(&self.tasks[o]))
             .collect()
     }
 
-    /// Cores that other machines in good health have left.
-    fn slack(&self, now: i64, m: usize) -> f64 {
-        let left = |o: usize| (self.mac.cores[o] - self.mac.used_cores[o]).max(0.0);
-        let fit = |&o: &usize| o != m && self.mac.listed[o] && now >= self.mac.shun_until[o];
-        (0..self.mac.listed.len()).filter(fit).map(left).sum()
-    }
-
     /// Moves tasks, the largest first, until they free so many cores and memory units.
     fn relieve(&mut self, mut line: Vec<usize>, mut cores: f64, mut memory: f64) {
         let size = |o: usize| self.tasks[o].cores;
@@ -868,7 +845,7 @@
             ];
             a.into_iter().chain(b).for_each(|times| times.push(0));
             let a = [&mut mac.cores, &mut mac.memory, &mut mac.used_cores];
-            let b = [&mut mac.used_memory, &mut mac.ailing, &mut mac.full_cores];
+            let b = [&mut mac.used_memory, &mut mac.ailing];
             a.into_iter().chain(b).for_each(|figures| figures.push(0.0));
         }
     }
