--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,6 @@
 //! what is kept of the paper's design and when each exception acts.
 #![allow(clippy::too_many_arguments)]
 use crate::host::{number, text, Given, Host, Outcome, Readiness};
-use std::collections::VecDeque;
 
 /// Confidence 99%: the standard normal quantile (the paper's D; DESIGN runs 99.9% and 99%).
 const D: f64 = 2.326;
@@ -91,8 +90,8 @@
     view: Vec<(f64, f64)>,
     view_at: Vec<i64>,
     held: Vec<Vec<usize>>,
-    kept: Vec<VecDeque<usize>>,
-    sends: Vec<VecDeque<i64>>,
+    kept: Vec<Vec<usize>>,
+    sends: Vec<Vec<i64>>,
     cold_until: Vec<i64>,
     ailing: Vec<f64>,
     shun_until: Vec<i64>,
@@ -109,12 +108,10 @@
     stamp: u64,
     tasks: Vec<Task>,
     waiting: Vec<usize>,
-    // The list: whether the last call for it failed, when it was last heard, when to ask again.
+    // The list: when it was last heard, when to ask for it again (never while a watch stands), failed calls.
     heard_at: i64,
     list_due: i64,
     list_fails: u32,
-    subscribed: bool,
-    seen: Vec<bool>,
     /// Used cores of one task of each service, and as a share of the ask of each framework.
     uses: Vec<Use>,
     shares: Vec<Use>,
@@ -139,8 +136,6 @@
             heard_at: now,
             list_due: i64::MAX,
             list_fails: 0,
-            subscribed: false,
-            seen: Vec::new(),
             uses: Vec::new(),
             shares: vec![Use::default(); answer_us.len()],
             memory_use: 0.7,
@@ -158,14 +153,11 @@
 
     /// Entries follow, then `list_ends`. A whole list names every machine; only a fresh one counts as heard.
     pub fn list_begins(&mut self, now: i64, whole: bool, fresh: bool) {
-        self.seen = vec![!whole; self.mac.listed.len()];
+        if whole {
+            self.mac.listed.fill(false);
+        }
         if fresh {
-            self.heard_at = now;
-            self.list_fails = 0;
-            if self.list_due != i64::MAX {
-                self.subscribed = true;
-                self.list_due = i64::MAX;
-            }
+            (self.heard_at, self.list_fails, self.list_due) = (now, 0, i64::MAX);
         }
     }
 
@@ -182,10 +174,6 @@
         memory_left: f64,
     ) {
         self.know_machine(m);
-        if m >= self.seen.len() {
-            self.seen.resize(m + 1, true);
-        }
-        self.seen[m] = true;
         self.mac.listed[m] = readiness == Readiness::Ready;
         self.mac.place[m] = (kind, zone, cell);
         self.mac.cores[m] = self.rule(&format!("familyInfo.cpuOfKind.{kind}"));
@@ -203,16 +191,12 @@
     }
 
     pub fn list_ends(&mut self, now: i64) {
-        for m in 0..self.mac.listed.len() {
-            self.mac.listed[m] &= self.seen[m];
-        }
         self.probe_round(now);
         self.serve_waiting(now);
     }
 
     /// A watch or fetch failed, or the watch dropped; which is not told, so ask anew, later each time.
     pub fn list_lost(&mut self, now: i64) {
-        self.subscribed = false;
         self.list_fails += 1;
         let wait = 200_000 << self.list_fails.min(4);
         self.list_due = now + self.chance.i64(wait / 2..wait);
@@ -225,9 +209,7 @@
 
     /// Whether the list can be relied on for drains: a planner that has not asked for long counts as told.
     fn list_holds(&self, now: i64) -> bool {
-        text(&self.given, "discovery") != "ask"
-            || self.subscribed
-            || now < self.heard_at + self.rule("rules.askEveryUs") as i64
+        self.list_due == i64::MAX || now < self.heard_at + self.rule("rules.askEveryUs") as i64
     }
 
     // ---- a task ----
@@ -331,22 +313,17 @@
                 unasked_memory = self.mac.view[m].1 - since_memory;
                 asked_memory = self.mac.memory[m] - unasked_memory;
             }
-            if asked + cores > accepts_cores * self.mac.cores[m]
-                || asked_memory + memory > accepts_memory * self.mac.memory[m]
-            {
+            let over_asked = asked + cores > accepts_cores * self.mac.cores[m];
+            if over_asked || asked_memory + memory > accepts_memory * self.mac.memory[m] {
                 continue;
             }
+            // Memory must fit what nobody asked for, or else a share of all by use.
             let used = self.mac.used_memory[m] + later_memory + memory;
-            let over_memory = used - MEMORY_SHARE * self.mac.memory[m];
-            let over_memory = if memory <= unasked_memory {
-                0.0
-            } else {
-                over_memory
-            };
+            let over_memory = (used - MEMORY_SHARE * self.mac.memory[m]).min(memory - unasked_memory);
             if over_cores <= 0.0 && over_memory <= 0.0 {
                 fits.push((m, ucac, self.suits(m, f, s, ucac)));
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
-                crowded.push((m, -over_cores / self.mac.cores[m], 0));
+                crowded.push((m, -over_cores, 0));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
                 let line = self.movable(m, f);
                 let line = || line.iter().map(|&o| &self.tasks[o]);
@@ -381,10 +358,9 @@
         (t.phase, t.machine, t.sent_at, t.ran_at) = (Phase::Out, m, now, 0);
         t.launches += 1;
         self.mac.held[m].push(task);
-        self.mac.sends[m].push_back(now);
-        while self.mac.sends[m].front().is_some_and(|&at| at < now - 10_000_000) {
-            self.mac.sends[m].pop_front();
-        }
+        let window = self.cold_window();
+        self.mac.sends[m].retain(|&at| at > now - window);
+        self.mac.sends[m].push(now);
         self.host.launch(task, m, patience);
         true
     }
@@ -394,23 +370,13 @@
         let t = &self.tasks[task];
         let (f, s) = (t.framework, t.service);
         let kind = self.rule(&format!("familyInfo.classKind.{f}"));
-        if !self.mac.listed[m]
-            || (kind >= 0.0 && kind as usize != self.mac.place[m].0)
-            || t.tried.contains(&m)
-        {
-            return false;
-        }
-        if now < self.mac.full_until[m] {
-            return false;
-        }
-        if !self.list_holds(now) || !self.group_allows(now, task, m) {
+        let wrong_kind = kind >= 0.0 && kind as usize != self.mac.place[m].0;
+        if !self.mac.listed[m] || wrong_kind || !self.list_holds(now) || !self.group_allows(now, task, m) {
             return false;
         }
         // A machine that fails is left alone, then tried with one launch at a time.
-        if now < self.mac.shun_until[m] {
-            return false;
-        }
-        if self.mac.ailing[m] > 0.2 && self.own(m).any(|t| t.phase == Phase::Out) {
+        let trial = self.mac.ailing[m] > 0.2 && self.own(m).any(|t| t.phase == Phase::Out);
+        if trial || now < self.mac.shun_until[m].max(self.mac.full_until[m]) || t.tried.contains(&m) {
             return false;
         }
         let most = self.rule(&format!("familyInfo.mostTogether.{f}")) as usize;
@@ -421,19 +387,22 @@
             "zone" => self.mac.place[o].1 == self.mac.place[m].1,
             _ => false,
         };
-        let here = (0..self.mac.listed.len())
-            .filter(|&o| together(o))
-            .flat_map(|o| self.own(o));
-        if !matches!(place, "" | "none") && here.filter(|t| t.service == s).count() >= most {
-            return false;
-        }
-        self.cold_budget_allows(now, m)
+        let places = (0..self.mac.listed.len()).filter(|&o| together(o));
+        let here: usize = places
+            .map(|o| self.own(o).filter(|t| t.service == s).count())
+            .sum();
+        (matches!(place, "" | "none") || here < most) && self.cold_budget_allows(now, m)
+    }
+
+    /// The window of the cold budget, and what a launch may be late by.
+    fn cold_window(&self) -> i64 {
+        self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64
     }
 
     /// A cold machine always bears some offers in each window; this planner keeps to its even part of
     /// them, and after its own start counts them as spent for a window, not knowing what it sent before.
     fn cold_budget_allows(&self, now: i64, m: usize) -> bool {
-        let window = self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64;
+        let window = self.cold_window();
         let part = (self.rule("familyInfo.coldSends") / self.rule("nInstances").max(1.0)) as usize;
         let sent = self.mac.sends[m].iter().filter(|&&at| at > now - window).count();
         now >= self.mac.cold_until[m] || (now >= self.born_at + window && sent < part)
@@ -477,7 +446,7 @@
         }
     }
 
-    /// News of a task: 1 it runs, 2 cores and 3 memory in use, 4 how well it is served, 5 memory of its machine.
+    /// News of a task: 1 it runs, 2 cores and 3 memory in use, 4 how well it is served.
     pub fn noted(&mut self, now: i64, task: usize, sort: i64, value: f64) {
         let t = &self.tasks[task];
         let (f, s, m) = (t.framework, t.service, t.machine);
@@ -519,10 +488,8 @@
         self.read_report(now, m, report);
         if ran_at > 0 {
             self.mac.kept[m].retain(|&k| k != s);
-            self.mac.kept[m].push_back(s);
-            if self.mac.kept[m].len() > KEPT {
-                self.mac.kept[m].pop_front();
-            }
+            self.mac.kept[m].insert(0, s);
+            self.mac.kept[m].truncate(KEPT);
         }
         match outcome {
             // No room: others may fit where this one did not, but not at once. A line of offers clears soon.
@@ -580,23 +547,19 @@
     /// Too little time for an answer, or what may have run forbids every further launch.
     fn too_late(&self, now: i64, task: usize) -> bool {
         let t = &self.tasks[task];
-        let late = now + self.answer_us[t.framework] as i64 >= t.limit_at;
-        late || t
+        let barred = t
             .unsure
-            .is_some_and(|(first, _)| !self.group_allows(now, task, first))
+            .is_some_and(|(first, _)| !self.group_allows(now, task, first));
+        barred || now + self.answer_us[t.framework] as i64 >= t.limit_at
     }
 
     /// The final answer: declined where a further try is harmless, else aborted.
     fn give_up(&mut self, task: usize) {
-        let t = &mut self.tasks[task];
-        t.phase = Phase::Over;
-        let f = t.framework;
-        let semantics = self.semantics(f);
-        let group = text(&self.given, &format!("classes.{f}.group"));
-        if self.tasks[task].unsure.is_none()
-            || semantics == "retryable"
-            || (semantics == "dedup" && group == "all")
-        {
+        self.tasks[task].phase = Phase::Over;
+        let f = self.tasks[task].framework;
+        let in_all = text(&self.given, &format!("classes.{f}.group")) == "all";
+        let harmless = self.semantics(f) == "retryable" || (self.semantics(f) == "dedup" && in_all);
+        if harmless || self.tasks[task].unsure.is_none() {
             self.host.decline(task, 0);
         } else {
             self.host.abort(task);
@@ -771,11 +734,8 @@
         let below = |t: &Task| self.priority(t.framework) < self.priority(f);
         let may =
             |t: &Task| t.phase == Phase::Placed && below(t) && self.semantics(t.framework) == "retryable";
-        self.mac.held[m]
-            .iter()
-            .copied()
-            .filter(|&o| may(&self.tasks[o]))
-            .collect()
+        let held = self.mac.held[m].iter().copied();
+        held.filter(|&o| may(&self.tasks[o])).collect()
     }
 
     /// Moves tasks, the largest first, until they free so many cores and memory units.
@@ -834,8 +794,8 @@
             mac.place.push((0, 0, 0));
             mac.view.push((0.0, 0.0));
             mac.held.push(Vec::new());
-            mac.kept.push(VecDeque::new());
-            mac.sends.push(VecDeque::new());
+            mac.kept.push(Vec::new());
+            mac.sends.push(Vec::new());
             let a = [&mut mac.started, &mut mac.report_at, &mut mac.view_at];
             let b = [
                 &mut mac.cold_until,
