--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -427,9 +427,8 @@
                 .index
                 .get(&f.text("opId")?)
                 .ok_or("field 'opId' names no open task")?;
-            let launch = f.whole("sendNo")? as u32;
             match kind {
-                "accepted" => p.accepted(now, task, launch),
+                "accepted" => p.accepted(now, task),
                 "interim" => p.noted(now, task, f.whole("sort")?, f.number("level")?),
                 _ => {
                     let over = f.mark("noMore")?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,6 +23,8 @@
 const LINE: usize = 6;
 /// Share of the latency goal over which a waiting task's margin melts.
 const EASE: f64 = 0.3;
+/// A tenant is judged to be beyond its share from this multiple of it on: a planner sees but a part.
+const FAR: f64 = 1.4;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -44,10 +46,16 @@
 }
 
 impl Use {
-    /// Each note moves the mean and variance by at least one part in `memory`; `start` notes came before.
-    fn learn(&mut self, value: f64, start: f64, memory: f64) {
+    const START: Use = Use {
+        mean: 1.0,
+        variance: 0.25,
+        notes: 0.0,
+    };
+
+    /// The start counts as one note; each moves mean and variance by at least one part in `memory`.
+    fn learn(&mut self, value: f64, memory: f64) {
         self.notes += 1.0;
-        let w = (1.0 / (self.notes + start)).max(1.0 / memory);
+        let w = (1.0 / (self.notes + 1.0)).max(1.0 / memory);
         let off = value - self.mean;
         self.mean += w * off;
         self.variance = (1.0 - w) * (self.variance + w * off * off);
@@ -137,7 +145,7 @@
             list_due: i64::MAX,
             list_fails: 0,
             uses: Vec::new(),
-            shares: vec![Use::default(); answer_us.len()],
+            shares: vec![Use::START; answer_us.len()],
             memory_use: 0.7,
             answer_us,
             mac: Machines::default(),
@@ -258,14 +266,9 @@
             self.uses.resize(s + 1, Use::default());
         }
         if self.uses[s].notes == 0.0 {
-            // The ask and a quarter of its square, until some notes of the framework tell better.
-            let told = (self.shares[f].mean, self.shares[f].variance);
-            let (mean, variance) = if self.shares[f].notes >= 4.0 {
-                told
-            } else {
-                (1.0, 0.25)
-            };
-            (self.uses[s].mean, self.uses[s].variance) = (cores * mean, cores * cores * variance);
+            // The ask and a quarter of its square, until notes of the framework tell better.
+            let share = &self.shares[f];
+            (self.uses[s].mean, self.uses[s].variance) = (cores * share.mean, cores * cores * share.variance);
         }
         if task == self.tasks.len() {
             self.tasks.push(Task::default());
@@ -284,7 +287,9 @@
         let (mu, b) = (self.uses[s].mean, self.uses[s].variance);
         // Waiting costs more than a thin margin: it melts away early in the latency goal. From then on a
         // task that crowding only slows is better started on the least crowded machine than late.
-        let ease = ((now - t.born_at) as f64 / (EASE * self.per(f, "objectiveUs")).max(1.0)).min(1.0);
+        // Work beyond its tenant's share, worth little, keeps the whole margin.
+        let waited = if self.over_share(task) { 0 } else { now - t.born_at };
+        let ease = (waited as f64 / (EASE * self.per(f, "objectiveUs")).max(1.0)).min(1.0);
         let fade = self.rule(&format!("familyInfo.fadeSpan.{f}"));
         let bears = self.rule(&format!("familyInfo.calmLevel.{f}")) + 0.5 * fade - HEADROOM;
         let accepts_cores = self.rule("familyInfo.admitCores");
@@ -304,7 +309,7 @@
             let ucac = c + mu + D * (big_b + b).sqrt();
             let over_cores = c + mu + (1.0 - ease) * D * (big_b + b).sqrt() - HEADROOM * self.mac.cores[m];
             // All that a machine has accepted: listed late, or else told by what is used.
-            let mut asked = self.mac.used_cores[m] / self.share_used(f) + later_cores;
+            let mut asked = self.mac.used_cores[m] / self.shares[f].mean.max(0.1) + later_cores;
             let mut asked_memory = 0.0;
             let mut unasked_memory = 0.0;
             if view {
@@ -432,7 +437,7 @@
         (t.limit_at - now).min(usual as i64)
     }
 
-    pub fn accepted(&mut self, now: i64, task: usize, _launch: u32) {
+    pub fn accepted(&mut self, now: i64, task: usize) {
         let t = &mut self.tasks[task];
         if t.phase != Phase::Out {
             return;
@@ -440,7 +445,8 @@
         t.phase = Phase::Placed;
         let (m, f, took) = (t.machine, t.framework, (now - t.sent_at) as f64);
         self.answer_us[f] += 0.1 * (took - self.answer_us[f]);
-        self.works(now, m);
+        self.mac.ailing[m] *= 0.8;
+        self.answers(now, m);
         if text(&self.given, "familyInfo.yesAt") == "running" {
             self.runs(now, task);
         }
@@ -454,8 +460,8 @@
             1 => self.runs(now, task),
             2 => {
                 let share = value / t.cores.max(0.001);
-                self.uses[s].learn(value, 1.0, 32.0);
-                self.shares[f].learn(share, 0.0, 256.0);
+                self.uses[s].learn(value, 32.0);
+                self.shares[f].learn(share, 256.0);
             }
             3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
             // Served poorly, from whatever cause: own tasks of lower priority make way.
@@ -495,7 +501,8 @@
             // No room: others may fit where this one did not, but not at once. A line of offers clears soon.
             Outcome::Full => {
                 self.mac.full_until[m] = now + if why == 3 { 300_000 } else { 1_000_000 };
-                self.works(now, m);
+                self.mac.ailing[m] *= 0.8;
+                self.answers(now, m);
             }
             Outcome::ConnectFailed | Outcome::TimedOut => self.fails(now, m, 0.5, true),
             Outcome::Error => self.fails(now, m, 0.3, false),
@@ -572,11 +579,9 @@
             return;
         }
         let mut line = std::mem::take(&mut self.waiting);
-        line.sort_by(|&a, &b| {
-            let value = |o: usize| self.per(self.tasks[o].framework, "worth");
-            let by_age = self.tasks[a].stamp.cmp(&self.tasks[b].stamp);
-            value(b).total_cmp(&value(a)).then(by_age)
-        });
+        let value = |o: usize| self.per(self.tasks[o].framework, "worth");
+        let stamp = |o: usize| self.tasks[o].stamp;
+        line.sort_by(|&a, &b| value(b).total_cmp(&value(a)).then(stamp(a).cmp(&stamp(b))));
         let mut least = vec![f64::MAX; self.shares.len()];
         for task in line {
             let (f, cores) = (self.tasks[task].framework, self.tasks[task].cores);
@@ -632,25 +637,17 @@
         self.know_machine(m);
         if outcome == Outcome::Ended {
             self.read_report(now, m, report);
-            if self.mac.silent[m] {
-                self.revive(now, m);
-                self.mac.shun_until[m] = now;
-            }
+            self.answers(now, m);
         } else if outcome != Outcome::Full {
             self.fails(now, m, 0.3, true);
         }
     }
 
-    /// An answer from a machine that was silent: it may have restarted before the list says so.
-    fn revive(&mut self, now: i64, m: usize) {
-        self.mac.silent[m] = false;
-        self.mac.cold_until[m] = self.mac.cold_until[m].max(now + self.rule("rules.coldUs") as i64);
-    }
-
-    fn works(&mut self, now: i64, m: usize) {
-        self.mac.ailing[m] *= 0.8;
+    /// A machine that was silent answers: it may have restarted before the list says so.
+    fn answers(&mut self, now: i64, m: usize) {
         if self.mac.silent[m] {
-            self.revive(now, m);
+            (self.mac.silent[m], self.mac.shun_until[m]) = (false, now);
+            self.mac.cold_until[m] = self.mac.cold_until[m].max(now + self.rule("rules.coldUs") as i64);
         }
     }
 
@@ -713,14 +710,6 @@
         8 * u8::from(short) + 4 * u8::from(calm(f)) + 2 * u8::from(program) + u8::from(others)
     }
 
-    fn share_used(&self, f: usize) -> f64 {
-        if self.shares[f].notes > 0.0 {
-            self.shares[f].mean.max(0.1)
-        } else {
-            1.0
-        }
-    }
-
     fn semantics(&self, f: usize) -> &str {
         text(&self.given, &format!("classes.{f}.semantics"))
     }
@@ -753,6 +742,20 @@
         }
     }
 
+    /// Whether a task's tenant holds, through this planner, far more than its part of the tenant's cores: an
+    /// even part, or more where this planner holds more of all that the list shows as asked.
+    fn over_share(&self, task: usize) -> bool {
+        let Some(tenant) = self.tasks[task].tenant else {
+            return false;
+        };
+        let listed = || (0..self.mac.listed.len()).filter(|&m| self.mac.listed[m]);
+        let asked: f64 = listed().map(|m| self.mac.cores[m] - self.mac.view[m].0).sum();
+        let all = || listed().flat_map(|m| self.own(m));
+        let held: f64 = all().filter(|t| t.tenant == Some(tenant)).map(|t| t.cores).sum();
+        let part = (all().map(|t| t.cores).sum::<f64>() / asked.max(1.0)).max(1.0 / self.rule("nInstances"));
+        held > FAR * part * self.rule(&format!("familyInfo.quotaCores.{tenant}"))
+    }
+
     /// Mean variance-to-mean ratio of the known services.
     fn spread_ratio(&self) -> f64 {
         let known = || self.uses.iter().filter(|u| u.notes > 0.0 && u.mean > 0.0);
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,254 @@
+//! Short traces of decisions, each kept beside the test and read by people.
+mod stage;
+use basaltpitch::host::{Outcome::*, Readiness::*};
+use expect_test::expect;
+use stage::*;
+
+/// The fullest machine that still fits, then the next, then waiting.
+#[test]
+fn the_fullest_fitting_machine_is_picked() {
+    let mut p = planner(&[], &[2.0, 9.0, 15.5]);
+    small(&mut p, 0, 0);
+    p.accepted(10_020_000, 0);
+    for task in 1..4 {
+        p.noted(10_030_000, 0, 2, 0.5);
+        large(&mut p, task, task);
+    }
+    expect![[r#"
+         10000 ms  launch task 0 on machine 1 for 3000 ms
+         10000 ms  launch task 1 on machine 0 for 9000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// A program that is there beats a fuller machine without it.
+#[test]
+fn machines_that_hold_the_program_go_first() {
+    let mut p = planner(&[], &[2.0, 9.0]);
+    p.found(10_000_000, 0, 0, None, 5, 1.0, 2.0, 0);
+    small(&mut p, 1, 5);
+    small(&mut p, 2, 6);
+    expect![[r#"
+         10000 ms  launch task 1 on machine 0 for 3000 ms
+         10000 ms  launch task 2 on machine 1 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// Nothing fits: it waits, then starts on the least crowded machine before its latency goal is gone; a
+/// large one, which crowding stops, is declined in time instead.
+#[test]
+fn waiting_ends_on_the_least_crowded_machine_or_in_time() {
+    let mut p = planner(&[], &[16.0, 15.8]);
+    small(&mut p, 0, 0);
+    large(&mut p, 1, 1);
+    pass(&mut p, 19_500_000);
+    expect![[r#"
+         10200 ms  launch task 0 on machine 1 for 3000 ms
+         16500 ms  decline task 1
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// A task that came back from a refusal has a timer of its own again (lost on an overloaded day).
+#[test]
+fn a_refused_task_that_waits_is_answered_in_time() {
+    let mut p = planner(&[("permissions.attemptsCap", "9")], &[2.0]);
+    small(&mut p, 0, 0);
+    p.host.now = 15_650_000;
+    end(&mut p, 0, Full, 2, false);
+    pass(&mut p, 17_000_000);
+    expect![[r#"
+         10000 ms  launch task 0 on machine 0 for 3000 ms
+         15700 ms  decline task 0
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// Room for a large task is made by moving own small ones; badly served, it is relieved likewise.
+#[test]
+fn small_tasks_make_way_for_a_large_one() {
+    let mut p = planner(&[], &[12.0]);
+    for task in 0..6 {
+        p.found(10_000_000, task, 0, None, task, 2.0, 2.0, 0);
+        p.noted(10_000_000, task, 2, 1.8);
+    }
+    large(&mut p, 6, 9);
+    p.accepted(10_050_000, 6);
+    p.host.now = 10_900_000;
+    p.noted(10_900_000, 6, 4, 0.1);
+    expect![[r#"
+         10000 ms  move task 0
+         10000 ms  move task 1
+         10000 ms  move task 2
+         10000 ms  launch task 6 on machine 0 for 9000 ms
+         10900 ms  move task 3
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// A keyed launch that may have run is repeated within its group and window only, else aborted.
+#[test]
+fn a_keyed_task_keeps_to_its_group_and_window() {
+    let mut p = planner(&[("classes.1.group", "zone")], &[2.0, 3.0, 1.0]);
+    large(&mut p, 0, 0);
+    p.host.now = 14_000_000;
+    end(&mut p, 0, TimedOut, 0, false);
+    large(&mut p, 1, 1);
+    p.host.now += 400_000;
+    end(&mut p, 1, ConnectFailed, 0, false);
+    p.host.now += 5_900_000;
+    end(&mut p, 1, Error, 0, false);
+    expect![[r#"
+         10000 ms  launch task 0 on machine 1 for 9000 ms
+         14000 ms  launch task 1 on machine 0 for 9000 ms
+         14400 ms  launch task 1 on machine 2 for 8600 ms
+         20300 ms  abort task 1
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// A once-only task that may have run is aborted; one that was refused goes on.
+#[test]
+fn a_once_only_task_is_never_repeated() {
+    let mut p = planner(&[("classes.1.semantics", "fragile")], &[2.0, 3.0]);
+    large(&mut p, 0, 0);
+    end(&mut p, 0, Full, 3, false);
+    end(&mut p, 0, Reset, 0, false);
+    expect![[r#"
+         10000 ms  launch task 0 on machine 1 for 9000 ms
+         10000 ms  launch task 0 on machine 0 for 9000 ms
+         10000 ms  abort task 0
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// Draining, gone and unlisted machines get nothing from the moment they are told.
+#[test]
+fn drains_are_kept() {
+    let mut p = planner(&[], &[2.0, 3.0, 4.0]);
+    list(&mut p, false, &[(2, Draining, 0)]);
+    small(&mut p, 0, 0);
+    list(&mut p, false, &[(1, Gone, 0)]);
+    small(&mut p, 1, 1);
+    list(&mut p, true, &[(1, Ready, 0)]);
+    small(&mut p, 2, 2);
+    expect![[r#"
+         10000 ms  launch task 0 on machine 1 for 3000 ms
+         10000 ms  launch task 1 on machine 0 for 3000 ms
+         10000 ms  launch task 2 on machine 1 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// A machine that started anew gets this planner's part of its budget for each window and no more; a
+/// planner that has just started itself counts the budget as spent.
+#[test]
+fn a_cold_machine_gets_a_small_budget() {
+    let mut p = planner(&[], &[2.0]);
+    list(&mut p, false, &[(0, Ready, 9_900_000)]);
+    small(&mut p, 0, 0);
+    p.host.now = 13_000_000;
+    for task in 1..6 {
+        small(&mut p, task, task);
+    }
+    pass(&mut p, 15_000_000);
+    expect![[r#"
+         13000 ms  launch task 1 on machine 0 for 3000 ms
+         13000 ms  launch task 2 on machine 0 for 3000 ms
+         13000 ms  launch task 3 on machine 0 for 3000 ms
+         14300 ms  launch task 0 on machine 0 for 1700 ms
+         14300 ms  launch task 4 on machine 0 for 3000 ms
+         14300 ms  launch task 5 on machine 0 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// Spread counts cancelled, placed and found tasks until their outcome.
+#[test]
+fn spread_is_kept() {
+    let spread = [
+        ("familyInfo.classSpread.0", "cell"),
+        ("familyInfo.mostTogether.0", "2"),
+    ];
+    let mut p = planner(&spread, &[3.0, 2.0, 1.0]);
+    p.found(10_000_000, 0, 0, None, 0, 1.0, 2.0, 1);
+    for task in 1..4 {
+        small(&mut p, task, 0);
+    }
+    p.expired(10_000_000, 1);
+    small(&mut p, 4, 0);
+    end(&mut p, 1, Cancelled, 0, true);
+    small(&mut p, 5, 0);
+    expect![[r#"
+         10000 ms  launch task 1 on machine 1 for 3000 ms
+         10000 ms  launch task 2 on machine 2 for 3000 ms
+         10000 ms  launch task 3 on machine 2 for 3000 ms
+         10000 ms  cancel launch 0 of task 1
+         10000 ms  launch task 4 on machine 1 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// A silent machine is left alone, tried with one launch at a time, and cold once it answers again.
+#[test]
+fn a_silent_machine_is_left_alone_then_tried() {
+    let mut p = planner(&[], &[2.0, 9.0]);
+    small(&mut p, 0, 0);
+    p.host.now = 10_300_000;
+    end(&mut p, 0, ConnectFailed, 0, false);
+    small(&mut p, 1, 1);
+    p.host.now = 14_000_000;
+    p.probed(14_000_000, 1, Ended, &[7.0, 23.0]);
+    for task in 2..6 {
+        small(&mut p, task, task);
+    }
+    expect![[r#"
+         10000 ms  launch task 0 on machine 1 for 3000 ms
+         10300 ms  launch task 0 on machine 0 for 3000 ms
+         10300 ms  launch task 1 on machine 0 for 3000 ms
+         14000 ms  launch task 2 on machine 1 for 3000 ms
+         14000 ms  launch task 3 on machine 0 for 3000 ms
+         14000 ms  launch task 4 on machine 0 for 3000 ms
+         14000 ms  launch task 5 on machine 0 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// The list is watched at once, asked for again after a loss, and not relied on when it was not heard.
+#[test]
+fn the_list_is_watched_and_asked_for_again() {
+    let mut p = planner(&[("discovery", "ask")], &[2.0]);
+    p.list_lost(10_000_000);
+    pass(&mut p, 19_000_000);
+    small(&mut p, 0, 0);
+    pass(&mut p, 21_000_000);
+    small(&mut p, 1, 1);
+    pass(&mut p, 22_000_000);
+    list(&mut p, false, &[]);
+    expect![[r#"
+         10000 ms  watch true
+         10400 ms  watch true
+         15400 ms  watch true
+         19000 ms  launch task 0 on machine 0 for 3000 ms
+         20400 ms  watch true
+         22000 ms  launch task 1 on machine 0 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// Stale timers and outcomes after the end do nothing, also after the slot was handed out again.
+#[test]
+fn what_is_over_stays_over() {
+    let mut p = planner(&[], &[16.0]);
+    large(&mut p, 0, 0);
+    p.expired(10_000_000, 0);
+    large(&mut p, 0, 1);
+    list(&mut p, false, &[(0, Gone, 0)]);
+    pass(&mut p, 29_000_000);
+    p.expired(29_000_000, 0);
+    expect![[r#"
+         16500 ms  decline task 0
+    "#]]
+    .assert_eq(&p.host.text);
+}
