Machines are judged by how they serve; badly served large tasks leave for calm ones

Served shares now tell what cores are worth, which decides which machines count as calm, and a large task served below a half moves if a calm machine is there. Should also cover stolen cores and neighbours that swell; may hurt by moving in a burst that is nearly over.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,6 +25,8 @@
 const EASE: f64 = 0.3;
 /// A tenant is judged to be beyond its share from this multiple of it on: a planner sees but a part.
 const FAR: f64 = 1.4;
+/// Served below this share, a task of higher priority is better off moved.
+const POOR: f64 = 0.5;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -104,6 +106,8 @@
     ailing: Vec<f64>,
     shun_until: Vec<i64>,
     silent: Vec<bool>,
+    /// What the machine's cores are worth, judged by how its tasks are served.
+    speed: Vec<f64>,
     full_until: Vec<i64>,
     probed_at: Vec<i64>,
 }
@@ -464,15 +468,36 @@
                 self.shares[f].learn(share, 256.0);
             }
             3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
-            // Served poorly, from whatever cause: own tasks of lower priority make way.
-            4 if value < 0.9 => {
-                let line = self.movable(m, f);
-                self.relieve(line, 0.1 * self.mac.cores[m], 0.0);
-            }
+            4 => self.served(now, task, value),
             _ => {}
         }
     }
 
+    /// How well a task is served tells what its machine's cores are worth, as true speeds are not listed.
+    /// Where it is poor, from whatever cause, own tasks of lower priority make way; where there are none, and
+    /// it is bad, the task itself leaves for a machine that is calm for it.
+    fn served(&mut self, now: i64, task: usize, value: f64) {
+        let t = &self.tasks[task];
+        let (f, m, mean, memory) = (t.framework, t.machine, self.uses[t.service].mean, t.memory);
+        let calm = self.rule(&format!("familyInfo.calmLevel.{f}"));
+        let busy = calm + self.rule(&format!("familyInfo.fadeSpan.{f}")) * (1.0 - value);
+        let told = (self.mac.used_cores[m] / (busy * self.mac.cores[m])).clamp(0.3, 1.0);
+        self.mac.speed[m] += 0.5 * (if value < 0.95 { told } else { 1.0 } - self.mac.speed[m]);
+        let line = self.movable(m, f);
+        if value < 0.9 && !line.is_empty() {
+            self.relieve(line, 0.1 * self.mac.cores[m], 0.0);
+        } else if value < POOR && self.priority(f) > 0.0 && self.tasks[task].phase == Phase::Placed {
+            let calm_there = |o: usize| {
+                let cores = self.mac.used_cores[o] + mean <= calm * self.mac.speed[o] * self.mac.cores[o];
+                cores && self.mac.used_memory[o] + memory <= MEMORY_SHARE * self.mac.memory[o]
+            };
+            let well = |o: usize| o != m && self.mac.listed[o] && now >= self.mac.shun_until[o];
+            if (0..self.mac.listed.len()).any(|o| well(o) && calm_there(o)) {
+                self.relieve(vec![task], mean, 0.0);
+            }
+        }
+    }
+
     fn runs(&mut self, now: i64, task: usize) {
         if self.tasks[task].ran_at == 0 {
             self.tasks[task].ran_at = now;
@@ -702,7 +727,8 @@
     /// to be served in full. It holds the program, as a start takes several times as long without. Own
     /// tasks of other frameworks stay calm too.
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
-        let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * self.mac.cores[m] >= ucac;
+        let cores = self.mac.speed[m] * self.mac.cores[m];
+        let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * cores >= ucac;
         let short = self.own(m).filter(|t| t.ran_at == 0).count() < LINE;
         let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
         let program = self.own(m).any(runs) || self.mac.kept[m].contains(&s);
@@ -794,6 +820,7 @@
         while mac.listed.len() <= m {
             mac.listed.push(false);
             mac.silent.push(false);
+            mac.speed.push(1.0);
             mac.place.push((0, 0, 0));
             mac.view.push((0.0, 0.0));
             mac.held.push(Vec::new());
