--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,6 +27,8 @@
 const FAR: f64 = 1.4;
 /// Served below this share, a task of higher priority is better off moved.
 const POOR: f64 = 0.5;
+/// Launches to a machine that are remembered for its cold budget.
+const MOST_SENDS: usize = 256;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -108,7 +110,6 @@
     silent: Vec<bool>,
     /// What the machine's cores are worth, judged by how its tasks are served.
     speed: Vec<f64>,
-    full_until: Vec<i64>,
     probed_at: Vec<i64>,
 }
 
@@ -161,8 +162,6 @@
         planner
     }
 
-    // ---- the list ----
-
     /// Entries follow, then `list_ends`. A whole list names every machine; only a fresh one counts as heard.
     pub fn list_begins(&mut self, now: i64, whole: bool, fresh: bool) {
         if whole {
@@ -224,8 +223,6 @@
         self.list_due == i64::MAX || now < self.heard_at + self.rule("rules.askEveryUs") as i64
     }
 
-    // ---- a task ----
-
     pub fn wanted(
         &mut self,
         now: i64,
@@ -367,9 +364,8 @@
         (t.phase, t.machine, t.sent_at, t.ran_at) = (Phase::Out, m, now, 0);
         t.launches += 1;
         self.mac.held[m].push(task);
-        let window = self.cold_window();
-        self.mac.sends[m].retain(|&at| at > now - window);
-        self.mac.sends[m].push(now);
+        self.mac.sends[m].insert(0, now);
+        self.mac.sends[m].truncate(MOST_SENDS);
         self.host.launch(task, m, patience);
         true
     }
@@ -385,7 +381,7 @@
         }
         // A machine that fails is left alone, then tried with one launch at a time.
         let trial = self.mac.ailing[m] > 0.2 && self.own(m).any(|t| t.phase == Phase::Out);
-        if trial || now < self.mac.shun_until[m].max(self.mac.full_until[m]) || t.tried.contains(&m) {
+        if trial || now < self.mac.shun_until[m] || t.tried.contains(&m) {
             return false;
         }
         let most = self.rule(&format!("familyInfo.mostTogether.{f}")) as usize;
@@ -397,24 +393,21 @@
             _ => false,
         };
         let places = (0..self.mac.listed.len()).filter(|&o| together(o));
-        let here: usize = places
-            .map(|o| self.own(o).filter(|t| t.service == s).count())
-            .sum();
+        let here = places
+            .flat_map(|o| self.own(o))
+            .filter(|t| t.service == s)
+            .count();
         (matches!(place, "" | "none") || here < most) && self.cold_budget_allows(now, m)
     }
 
-    /// The window of the cold budget, and what a launch may be late by.
-    fn cold_window(&self) -> i64 {
-        self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64
-    }
-
     /// A cold machine always bears some offers in each window; this planner keeps to its even part of
     /// them, and after its own start counts them as spent for a window, not knowing what it sent before.
     fn cold_budget_allows(&self, now: i64, m: usize) -> bool {
-        let window = self.cold_window();
+        // A launch may be late by the time that a connection takes.
+        let window = self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64;
         let part = (self.rule("familyInfo.coldSends") / self.rule("nInstances").max(1.0)) as usize;
         let sent = self.mac.sends[m].iter().filter(|&&at| at > now - window).count();
-        now >= self.mac.cold_until[m] || (now >= self.born_at + window && sent < part)
+        now >= self.mac.cold_until[m] || (now >= self.born_at + window && sent < part.min(MOST_SENDS))
     }
 
     /// Rule 2: where a launch may have run, a further one must be harmless.
@@ -459,7 +452,7 @@
     /// News of a task: 1 it runs, 2 cores and 3 memory in use, 4 how well it is served.
     pub fn noted(&mut self, now: i64, task: usize, sort: i64, value: f64) {
         let t = &self.tasks[task];
-        let (f, s, m) = (t.framework, t.service, t.machine);
+        let (f, s) = (t.framework, t.service);
         match sort {
             1 => self.runs(now, task),
             2 => {
@@ -487,12 +480,13 @@
         if value < 0.9 && !line.is_empty() {
             self.relieve(line, 0.1 * self.mac.cores[m], 0.0);
         } else if value < POOR && self.priority(f) > 0.0 && self.tasks[task].phase == Phase::Placed {
+            let mac = &self.mac;
             let calm_there = |o: usize| {
-                let cores = self.mac.used_cores[o] + mean <= calm * self.mac.speed[o] * self.mac.cores[o];
-                cores && self.mac.used_memory[o] + memory <= MEMORY_SHARE * self.mac.memory[o]
+                let cores = mac.used_cores[o] + mean <= calm * mac.speed[o] * mac.cores[o];
+                let well = o != m && mac.listed[o] && now >= mac.shun_until[o];
+                well && cores && mac.used_memory[o] + memory <= MEMORY_SHARE * mac.memory[o]
             };
-            let well = |o: usize| o != m && self.mac.listed[o] && now >= self.mac.shun_until[o];
-            if (0..self.mac.listed.len()).any(|o| well(o) && calm_there(o)) {
+            if (0..mac.listed.len()).any(calm_there) {
                 self.relieve(vec![task], mean, 0.0);
             }
         }
@@ -504,15 +498,7 @@
         }
     }
 
-    pub fn resolved(
-        &mut self,
-        now: i64,
-        task: usize,
-        outcome: Outcome,
-        why: i64,
-        over: bool,
-        report: &[f64],
-    ) {
+    pub fn resolved(&mut self, now: i64, task: usize, end: Outcome, why: i64, over: bool, report: &[f64]) {
         let t = &self.tasks[task];
         let (m, s, phase, sent_at, ran_at) = (t.machine, t.service, t.phase, t.sent_at, t.ran_at);
         self.mac.held[m].retain(|&o| o != task);
@@ -522,12 +508,11 @@
             self.mac.kept[m].insert(0, s);
             self.mac.kept[m].truncate(KEPT);
         }
-        match outcome {
-            // No room: others may fit where this one did not, but not at once. A line of offers clears soon.
+        match end {
+            // No room, or a long line of offers: others may fit a little later.
             Outcome::Full => {
-                self.mac.full_until[m] = now + if why == 3 { 300_000 } else { 1_000_000 };
-                self.mac.ailing[m] *= 0.8;
                 self.answers(now, m);
+                self.mac.shun_until[m] = self.mac.shun_until[m].max(now + 1_000_000);
             }
             Outcome::ConnectFailed | Outcome::TimedOut => self.fails(now, m, 0.5, true),
             Outcome::Error => self.fails(now, m, 0.3, false),
@@ -543,7 +528,7 @@
             return;
         }
         t.tried.push(m);
-        if !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot) {
+        if !matches!(end, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot) {
             t.unsure = t.unsure.or(Some((m, sent_at)));
         }
         t.phase = Phase::Waiting;
@@ -579,9 +564,7 @@
     /// Too little time for an answer, or what may have run forbids every further launch.
     fn too_late(&self, now: i64, task: usize) -> bool {
         let t = &self.tasks[task];
-        let barred = t
-            .unsure
-            .is_some_and(|(first, _)| !self.group_allows(now, task, first));
+        let barred = t.unsure.is_some_and(|u| !self.group_allows(now, task, u.0));
         barred || now + self.answer_us[t.framework] as i64 >= t.limit_at
     }
 
@@ -600,9 +583,6 @@
 
     /// Room may have come: those who wait are tried by value, the oldest first.
     fn serve_waiting(&mut self, now: i64) {
-        if self.waiting.is_empty() {
-            return;
-        }
         let mut line = std::mem::take(&mut self.waiting);
         let value = |o: usize| self.per(self.tasks[o].framework, "worth");
         let stamp = |o: usize| self.tasks[o].stamp;
@@ -619,8 +599,6 @@
         }
     }
 
-    // ---- time ----
-
     pub fn timer_due(&mut self, now: i64, token: u64) {
         if token != 0 {
             let task = (token & 0xffff_ffff) as usize;
@@ -643,15 +621,11 @@
         (self.tasks[task].stamp & 0x3fff_ffff) << 32 | task as u64
     }
 
-    // ---- machines ----
-
     fn probe_round(&mut self, now: i64) {
-        if self.rule("permissions.probes") == 0.0 {
-            return;
-        }
+        let may = self.rule("permissions.probes") > 0.0;
         for m in 0..self.mac.listed.len() {
             let last = self.mac.report_at[m].max(self.mac.probed_at[m]);
-            if self.mac.listed[m] && (last == 0 || now - last >= PROBE_EVERY) {
+            if may && self.mac.listed[m] && (last == 0 || now - last >= PROBE_EVERY) {
                 self.mac.probed_at[m] = now;
                 self.host.probe(m);
             }
@@ -713,10 +687,10 @@
         if self.mac.report_at[m] == 0 {
             return (average.0 + later, average.1 + b, later_cores, later_memory);
         }
-        let others = (self.mac.used_cores[m] - known).max(0.0);
+        let used = self.mac.used_cores[m];
         (
-            self.mac.used_cores[m] + later,
-            b + others * ratio,
+            used + later,
+            b + (used - known).max(0.0) * ratio,
             later_cores,
             later_memory,
         )
@@ -827,12 +801,7 @@
             mac.kept.push(Vec::new());
             mac.sends.push(Vec::new());
             let a = [&mut mac.started, &mut mac.report_at, &mut mac.view_at];
-            let b = [
-                &mut mac.cold_until,
-                &mut mac.shun_until,
-                &mut mac.full_until,
-                &mut mac.probed_at,
-            ];
+            let b = [&mut mac.cold_until, &mut mac.shun_until, &mut mac.probed_at];
             a.into_iter().chain(b).for_each(|times| times.push(0));
             let a = [&mut mac.cores, &mut mac.memory, &mut mac.used_cores];
             let b = [&mut mac.used_memory, &mut mac.ailing];
