--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -357,20 +357,21 @@
     kind: &str,
     f: &Fields,
 ) -> Result<(), String> {
+    p.clock(now);
     match kind {
         "membership" => {
             let how = f.text("how")?;
             if how == "lost" {
-                p.list_lost(now);
+                p.list_lost();
                 return Ok(());
             }
             let sheet = sheets
                 .get(&f.whole("sheet")?)
                 .ok_or("field 'sheet' names no list")?;
             match how.as_str() {
-                "incr" => p.list_begins(now, false, true),
-                "total" => p.list_begins(now, true, true),
-                "warm_copy" => p.list_begins(now, true, false),
+                "incr" => p.list_begins(false, true),
+                "total" => p.list_begins(true, true),
+                "warm_copy" => p.list_begins(true, false),
                 _ => return Err("field 'how' is none of the known kinds".into()),
             }
             for entry in sheet {
@@ -383,40 +384,35 @@
                 };
                 let machine = p.host.machines.enter(e.text("machine")?);
                 let zone = e.name_of("az", "localities", &p.host)?.unwrap_or(0);
-                p.machine_listed(
-                    now,
-                    machine,
-                    e.name_index("model", "machineTypes", &p.host)?,
-                    zone,
-                    e.opt("bay", Value::as_u64)?.unwrap_or(0) as usize,
-                    readiness,
-                    e.opt("startedAtUs", Value::as_i64)?.unwrap_or(0),
-                    e.opt("cpuLeft", Value::as_f64)?.unwrap_or(0.0),
-                    e.opt("memLeft", Value::as_f64)?.unwrap_or(0.0),
-                );
+                let kind = e.name_index("model", "machineTypes", &p.host)?;
+                let cell = e.opt("bay", Value::as_u64)?.unwrap_or(0) as usize;
+                let started = e.opt("startedAtUs", Value::as_i64)?.unwrap_or(0);
+                let left = |name| Ok::<f64, String>(e.opt(name, Value::as_f64)?.unwrap_or(0.0));
+                let left = (left("cpuLeft")?, left("memLeft")?);
+                p.machine_listed(machine, (kind, zone, cell), readiness, started, left);
             }
-            p.list_ends(now);
+            p.list_ends();
         }
         "wanted" | "found" => {
             let framework = f.name_index("priority", "classes", &p.host)?;
             let tenant = f.name_of("account", "tenants", &p.host)?;
             let service = f.get("deployment", Value::as_u64)?;
-            let (cores, memory) = (f.number("cpuAsk")?, f.number("memory")?);
+            let asks = (f.number("cpuAsk")?, f.number("memory")?);
             let time_left = f.whole("expiresInUs")?;
             let id = f.text("opId")?;
             let service = p.host.services.enter(service);
             if kind == "wanted" {
                 let task = p.host.enter_task(id, 0);
-                p.wanted(now, task, framework, tenant, service, cores, memory, time_left);
+                p.wanted(task, framework, tenant, service, asks, time_left);
             } else {
                 let machine = p.host.machines.enter(f.text("machine")?);
                 let task = p.host.enter_task(id, 1);
-                p.found(now, task, framework, tenant, service, cores, memory, machine);
+                p.found(task, framework, tenant, service, asks, machine);
             }
         }
         "expired" => {
             if let Some(&task) = p.host.tasks.index.get(&f.text("opId")?) {
-                p.expired(now, task);
+                p.expired(task);
                 p.host.close(task);
             }
         }
@@ -428,24 +424,24 @@
                 .get(&f.text("opId")?)
                 .ok_or("field 'opId' names no open task")?;
             match kind {
-                "accepted" => p.accepted(now, task),
-                "interim" => p.noted(now, task, f.whole("sort")?, f.number("level")?),
+                "accepted" => p.accepted(task),
+                "interim" => p.noted(task, f.whole("sort")?, f.number("level")?),
                 _ => {
                     let over = f.mark("noMore")?;
                     let why = f.opt("info", Value::as_i64)?.unwrap_or(0);
                     let (outcome, report) = (f.outcome()?, f.report()?);
                     p.host.out[task] = p.host.out[task].saturating_sub(1);
-                    p.resolved(now, task, outcome, why, over, &report);
+                    p.resolved(task, outcome, why, over, &report);
                     if over || p.host.over[task] {
                         p.host.close(task);
                     }
                 }
             }
         }
-        "elapsed" => p.timer_due(now, f.get("ref", Value::as_u64)?),
+        "elapsed" => p.timer_due(f.get("ref", Value::as_u64)?),
         "checked" => {
             let machine = p.host.machines.enter(f.text("machine")?);
-            p.probed(now, machine, f.outcome()?, &f.report()?);
+            p.probed(machine, f.outcome()?, &f.report()?);
         }
         "memo" => {}
         _ => return Err("unknown message type".into()),
--- a/src/host.rs
+++ b/src/host.rs
@@ -28,6 +28,12 @@
     }
 }
 
+/// Cores and memory units.
+pub type Room = (f64, f64);
+
+/// Kind, zone and cell of a machine.
+pub type Place = (usize, usize, usize);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
     Ended,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! The planner acts by calling the host at once. The interface is in `host.rs`; `docs/design.md` says
 //! what is kept of the paper's design and when each exception acts.
 #![allow(clippy::too_many_arguments)]
-use crate::host::{number, text, Given, Host, Outcome, Readiness};
+use crate::host::{number, text, Given, Host, Outcome, Place, Readiness, Room};
 
 /// Confidence 99%: the standard normal quantile (the paper's D; DESIGN runs 99.9% and 99%).
 const D: f64 = 2.326;
@@ -91,7 +91,7 @@
 struct Machines {
     listed: Vec<bool>,
     /// Kind, zone and cell.
-    place: Vec<(usize, usize, usize)>,
+    place: Vec<Place>,
     started: Vec<i64>,
     cores: Vec<f64>,
     memory: Vec<f64>,
@@ -99,7 +99,7 @@
     used_memory: Vec<f64>,
     report_at: Vec<i64>,
     /// Cores and memory that nobody had asked for, as listed.
-    view: Vec<(f64, f64)>,
+    view: Vec<Room>,
     view_at: Vec<i64>,
     held: Vec<Vec<usize>>,
     kept: Vec<Vec<usize>>,
@@ -117,6 +117,8 @@
     pub host: H,
     given: Given,
     chance: fastrand::Rng,
+    /// The clock as last told, and when this planner was started.
+    now: i64,
     born_at: i64,
     stamp: u64,
     tasks: Vec<Task>,
@@ -142,6 +144,7 @@
             host,
             given,
             chance: fastrand::Rng::with_seed(seed),
+            now,
             born_at: now,
             stamp: 0,
             tasks: Vec::new(),
@@ -156,41 +159,34 @@
             mac: Machines::default(),
         };
         if text(&planner.given, "discovery") == "ask" {
-            planner.ask_for_list(now);
+            planner.ask_for_list();
         }
         planner.host.timer(TICK, 0);
         planner
     }
 
+    /// The time of the events that follow.
+    pub fn clock(&mut self, now: i64) {
+        self.now = now;
+    }
+
     /// Entries follow, then `list_ends`. A whole list names every machine; only a fresh one counts as heard.
-    pub fn list_begins(&mut self, now: i64, whole: bool, fresh: bool) {
+    pub fn list_begins(&mut self, whole: bool, fresh: bool) {
         if whole {
             self.mac.listed.fill(false);
         }
         if fresh {
-            (self.heard_at, self.list_fails, self.list_due) = (now, 0, i64::MAX);
-        }
-    }
-
-    pub fn machine_listed(
-        &mut self,
-        now: i64,
-        m: usize,
-        kind: usize,
-        zone: usize,
-        cell: usize,
-        readiness: Readiness,
-        started: i64,
-        cores_left: f64,
-        memory_left: f64,
-    ) {
+            (self.heard_at, self.list_fails, self.list_due) = (self.now, 0, i64::MAX);
+        }
+    }
+
+    pub fn machine_listed(&mut self, m: usize, at: Place, ready: Readiness, started: i64, left: Room) {
         self.know_machine(m);
-        self.mac.listed[m] = readiness == Readiness::Ready;
-        self.mac.place[m] = (kind, zone, cell);
-        self.mac.cores[m] = self.rule(&format!("familyInfo.cpuOfKind.{kind}"));
-        self.mac.memory[m] = self.rule(&format!("familyInfo.sizeMemory.{kind}"));
-        self.mac.view[m] = (cores_left, memory_left);
-        self.mac.view_at[m] = now;
+        self.mac.listed[m] = ready == Readiness::Ready;
+        self.mac.cores[m] = self.rule(&format!("familyInfo.cpuOfKind.{}", at.0));
+        self.mac.memory[m] = self.rule(&format!("familyInfo.sizeMemory.{}", at.0));
+        (self.mac.place[m], self.mac.view[m]) = (at, left);
+        self.mac.view_at[m] = self.now;
         if started > self.mac.started[m] {
             // A newer start: a cold machine with empty hands.
             self.mac.started[m] = started;
@@ -201,75 +197,56 @@
         }
     }
 
-    pub fn list_ends(&mut self, now: i64) {
-        self.probe_round(now);
-        self.serve_waiting(now);
+    pub fn list_ends(&mut self) {
+        self.probe_round();
+        self.serve_waiting();
     }
 
     /// A watch or fetch failed, or the watch dropped; which is not told, so ask anew, later each time.
-    pub fn list_lost(&mut self, now: i64) {
+    pub fn list_lost(&mut self) {
         self.list_fails += 1;
         let wait = 200_000 << self.list_fails.min(4);
-        self.list_due = now + self.chance.i64(wait / 2..wait);
+        self.list_due = self.now + self.chance.i64(wait / 2..wait);
     }
 
-    fn ask_for_list(&mut self, now: i64) {
+    fn ask_for_list(&mut self) {
         self.host.watch(true);
-        self.list_due = now + 5_000_000;
+        self.list_due = self.now + 5_000_000;
     }
 
     /// Whether the list can be relied on for drains: a planner that has not asked for long counts as told.
-    fn list_holds(&self, now: i64) -> bool {
-        self.list_due == i64::MAX || now < self.heard_at + self.rule("rules.askEveryUs") as i64
-    }
-
-    pub fn wanted(
-        &mut self,
-        now: i64,
-        task: usize,
-        framework: usize,
-        tenant: Option<usize>,
-        service: usize,
-        cores: f64,
-        memory: f64,
-        time_left: i64,
-    ) {
-        self.enter(task, framework, tenant, service, cores, memory);
+    fn list_holds(&self) -> bool {
+        self.list_due == i64::MAX || self.now < self.heard_at + self.rule("rules.askEveryUs") as i64
+    }
+
+    pub fn wanted(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, asks: Room, left: i64) {
+        self.enter(task, f, tenant, s, asks);
         let t = &mut self.tasks[task];
-        (t.phase, t.born_at, t.limit_at) = (Phase::Waiting, now, now + time_left);
-        if !self.place(now, task) {
-            self.wait(now, task);
-        }
-    }
-
-    pub fn found(
-        &mut self,
-        now: i64,
-        task: usize,
-        framework: usize,
-        tenant: Option<usize>,
-        service: usize,
-        cores: f64,
-        memory: f64,
-        m: usize,
-    ) {
+        (t.phase, t.born_at, t.limit_at) = (Phase::Waiting, self.now, self.now + left);
+        if !self.place(task) {
+            self.wait(task);
+        }
+    }
+
+    pub fn found(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, asks: Room, m: usize) {
         self.know_machine(m);
-        self.enter(task, framework, tenant, service, cores, memory);
+        self.enter(task, f, tenant, s, asks);
         let t = &mut self.tasks[task];
         (t.phase, t.machine, t.launches) = (Phase::Placed, m, 1);
         // It runs already, so that reports contain it; it counts as launch 0.
-        (t.sent_at, t.ran_at) = (now, now - REPORT_LAG);
+        (t.sent_at, t.ran_at) = (self.now, self.now - REPORT_LAG);
         self.mac.held[m].push(task);
     }
 
-    fn enter(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, cores: f64, memory: f64) {
+    fn enter(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, asks: Room) {
         if s >= self.uses.len() {
             self.uses.resize(s + 1, Use::default());
         }
         if self.uses[s].notes == 0.0 {
             // The ask and a quarter of its square, until notes of the framework tell better.
             let share = &self.shares[f];
-            (self.uses[s].mean, self.uses[s].variance) = (cores * share.mean, cores * cores * share.variance);
+            (self.uses[s].mean, self.uses[s].variance) =
+                (asks.0 * share.mean, asks.0 * asks.0 * share.variance);
         }
         if task == self.tasks.len() {
             self.tasks.push(Task::default());
@@ -278,18 +255,22 @@
         let t = &mut self.tasks[task];
         *t = Task::default();
         (t.stamp, t.framework, t.tenant, t.service) = (self.stamp, f, tenant, s);
-        (t.cores, t.memory) = (cores, memory);
+        (t.cores, t.memory) = asks;
     }
 
     /// The ordinary path: filter, mean plus margin, the fullest fitting machine, launch. False: it waits.
-    fn place(&mut self, now: i64, task: usize) -> bool {
+    fn place(&mut self, task: usize) -> bool {
         let t = &self.tasks[task];
         let (f, s, cores, memory) = (t.framework, t.service, t.cores, t.memory);
         let (mu, b) = (self.uses[s].mean, self.uses[s].variance);
         // Waiting costs more than a thin margin: it melts away early in the latency goal. From then on a
         // task that crowding only slows is better started on the least crowded machine than late.
         // Work beyond its tenant's share, worth little, keeps the whole margin.
-        let waited = if self.over_share(task) { 0 } else { now - t.born_at };
+        let waited = if self.over_share(task) {
+            0
+        } else {
+            self.now - t.born_at
+        };
         let ease = (waited as f64 / (EASE * self.per(f, "objectiveUs")).max(1.0)).min(1.0);
         let fade = self.rule(&format!("familyInfo.fadeSpan.{f}"));
         let bears = self.rule(&format!("familyInfo.calmLevel.{f}")) + 0.5 * fade - HEADROOM;
@@ -303,7 +284,7 @@
         let mut crowded = Vec::new();
         let mut room = (f64::MAX, 0, 0.0, 0.0);
         for m in 0..self.mac.listed.len() {
-            if !self.may_send(now, task, m) {
+            if !self.may_send(task, m) {
                 continue;
             }
             let (c, big_b, later_cores, later_memory) = self.load(m, ratio, average);
@@ -359,29 +340,29 @@
         } else {
             return false;
         };
-        let patience = self.patience(now, task);
+        let patience = self.patience(task);
         let t = &mut self.tasks[task];
-        (t.phase, t.machine, t.sent_at, t.ran_at) = (Phase::Out, m, now, 0);
+        (t.phase, t.machine, t.sent_at, t.ran_at) = (Phase::Out, m, self.now, 0);
         t.launches += 1;
         self.mac.held[m].push(task);
-        self.mac.sends[m].insert(0, now);
+        self.mac.sends[m].insert(0, self.now);
         self.mac.sends[m].truncate(MOST_SENDS);
         self.host.launch(task, m, patience);
         true
     }
 
     /// The rules and the health of machines, before any fit.
-    fn may_send(&self, now: i64, task: usize, m: usize) -> bool {
+    fn may_send(&self, task: usize, m: usize) -> bool {
         let t = &self.tasks[task];
         let (f, s) = (t.framework, t.service);
         let kind = self.rule(&format!("familyInfo.classKind.{f}"));
         let wrong_kind = kind >= 0.0 && kind as usize != self.mac.place[m].0;
-        if !self.mac.listed[m] || wrong_kind || !self.list_holds(now) || !self.group_allows(now, task, m) {
+        if !self.mac.listed[m] || wrong_kind || !self.list_holds() || !self.group_allows(task, m) {
             return false;
         }
         // A machine that fails is left alone, then tried with one launch at a time.
         let trial = self.mac.ailing[m] > 0.2 && self.own(m).any(|t| t.phase == Phase::Out);
-        if trial || now < self.mac.shun_until[m] || t.tried.contains(&m) {
+        if trial || self.now < self.mac.shun_until[m] || t.tried.contains(&m) {
             return false;
         }
         let most = self.rule(&format!("familyInfo.mostTogether.{f}")) as usize;
@@ -397,21 +378,25 @@
             .flat_map(|o| self.own(o))
             .filter(|t| t.service == s)
             .count();
-        (matches!(place, "" | "none") || here < most) && self.cold_budget_allows(now, m)
+        (matches!(place, "" | "none") || here < most) && self.cold_budget_allows(m)
     }
 
     /// A cold machine always bears some offers in each window; this planner keeps to its even part of
     /// them, and after its own start counts them as spent for a window, not knowing what it sent before.
-    fn cold_budget_allows(&self, now: i64, m: usize) -> bool {
+    fn cold_budget_allows(&self, m: usize) -> bool {
         // A launch may be late by the time that a connection takes.
         let window = self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64;
         let part = (self.rule("familyInfo.coldSends") / self.rule("nInstances").max(1.0)) as usize;
-        let sent = self.mac.sends[m].iter().filter(|&&at| at > now - window).count();
-        now >= self.mac.cold_until[m] || (now >= self.born_at + window && sent < part.min(MOST_SENDS))
+        let sent = self.mac.sends[m]
+            .iter()
+            .filter(|&&at| at > self.now - window)
+            .count();
+        self.now >= self.mac.cold_until[m]
+            || (self.now >= self.born_at + window && sent < part.min(MOST_SENDS))
     }
 
     /// Rule 2: where a launch may have run, a further one must be harmless.
-    fn group_allows(&self, now: i64, task: usize, m: usize) -> bool {
+    fn group_allows(&self, task: usize, m: usize) -> bool {
         let t = &self.tasks[task];
         let Some((first, at)) = t.unsure else { return true };
         let kept = match self.semantics(t.framework) {
@@ -424,44 +409,44 @@
             _ => false,
         };
         let travel = self.rule("permissions.connectTimeoutUs") as i64;
-        kept && now + travel < at + self.per(t.framework, "windowUs") as i64
+        kept && self.now + travel < at + self.per(t.framework, "windowUs") as i64
     }
 
     /// How long a launch may go without an answer: several times the usual, half of the limit at least.
-    fn patience(&self, now: i64, task: usize) -> i64 {
+    fn patience(&self, task: usize) -> i64 {
         let t = &self.tasks[task];
         let usual = (0.5 * self.per(t.framework, "deadlineUs")).max(4.0 * self.answer_us[t.framework]);
-        (t.limit_at - now).min(usual as i64)
+        (t.limit_at - self.now).min(usual as i64)
     }
 
-    pub fn accepted(&mut self, now: i64, task: usize) {
+    pub fn accepted(&mut self, task: usize) {
         let t = &mut self.tasks[task];
         if t.phase != Phase::Out {
             return;
         }
         t.phase = Phase::Placed;
-        let (m, f, took) = (t.machine, t.framework, (now - t.sent_at) as f64);
+        let (m, f, took) = (t.machine, t.framework, (self.now - t.sent_at) as f64);
         self.answer_us[f] += 0.1 * (took - self.answer_us[f]);
         self.mac.ailing[m] *= 0.8;
-        self.answers(now, m);
+        self.answers(m);
         if text(&self.given, "familyInfo.yesAt") == "running" {
-            self.runs(now, task);
+            self.runs(task);
         }
     }
 
     /// News of a task: 1 it runs, 2 cores and 3 memory in use, 4 how well it is served.
-    pub fn noted(&mut self, now: i64, task: usize, sort: i64, value: f64) {
+    pub fn noted(&mut self, task: usize, sort: i64, value: f64) {
         let t = &self.tasks[task];
         let (f, s) = (t.framework, t.service);
         match sort {
-            1 => self.runs(now, task),
+            1 => self.runs(task),
             2 => {
                 let share = value / t.cores.max(0.001);
                 self.uses[s].learn(value, 32.0);
                 self.shares[f].learn(share, 256.0);
             }
             3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
-            4 => self.served(now, task, value),
+            4 => self.served(task, value),
             _ => {}
         }
     }
@@ -469,7 +454,7 @@
     /// How well a task is served tells what its machine's cores are worth, as true speeds are not listed.
     /// Where it is poor, from whatever cause, own tasks of lower priority make way; where there are none, and
     /// it is bad, the task itself leaves for a machine that is calm for it.
-    fn served(&mut self, now: i64, task: usize, value: f64) {
+    fn served(&mut self, task: usize, value: f64) {
         let t = &self.tasks[task];
         let (f, m, mean, memory) = (t.framework, t.machine, self.uses[t.service].mean, t.memory);
         let calm = self.rule(&format!("familyInfo.calmLevel.{f}"));
@@ -483,7 +468,7 @@
             let mac = &self.mac;
             let calm_there = |o: usize| {
                 let cores = mac.used_cores[o] + mean <= calm * mac.speed[o] * mac.cores[o];
-                let well = o != m && mac.listed[o] && now >= mac.shun_until[o];
+                let well = o != m && mac.listed[o] && self.now >= mac.shun_until[o];
                 well && cores && mac.used_memory[o] + memory <= MEMORY_SHARE * mac.memory[o]
             };
             if (0..mac.listed.len()).any(calm_there) {
@@ -492,17 +477,17 @@
         }
     }
 
-    fn runs(&mut self, now: i64, task: usize) {
+    fn runs(&mut self, task: usize) {
         if self.tasks[task].ran_at == 0 {
-            self.tasks[task].ran_at = now;
+            self.tasks[task].ran_at = self.now;
         }
     }
 
-    pub fn resolved(&mut self, now: i64, task: usize, end: Outcome, why: i64, over: bool, report: &[f64]) {
+    pub fn resolved(&mut self, task: usize, end: Outcome, why: i64, over: bool, report: &[f64]) {
         let t = &self.tasks[task];
         let (m, s, phase, sent_at, ran_at) = (t.machine, t.service, t.phase, t.sent_at, t.ran_at);
         self.mac.held[m].retain(|&o| o != task);
-        self.read_report(now, m, report);
+        self.read_report(m, report);
         if ran_at > 0 {
             self.mac.kept[m].retain(|&k| k != s);
             self.mac.kept[m].insert(0, s);
@@ -511,19 +496,19 @@
         match end {
             // No room, or a long line of offers: others may fit a little later.
             Outcome::Full => {
-                self.answers(now, m);
-                self.mac.shun_until[m] = self.mac.shun_until[m].max(now + 1_000_000);
+                self.answers(m);
+                self.mac.shun_until[m] = self.mac.shun_until[m].max(self.now + 1_000_000);
             }
-            Outcome::ConnectFailed | Outcome::TimedOut => self.fails(now, m, 0.5, true),
-            Outcome::Error => self.fails(now, m, 0.3, false),
-            Outcome::Reset if phase == Phase::Out || why == 0 => self.fails(now, m, 0.3, true),
+            Outcome::ConnectFailed | Outcome::TimedOut => self.fails(m, 0.5, true),
+            Outcome::Error => self.fails(m, 0.3, false),
+            Outcome::Reset if phase == Phase::Out || why == 0 => self.fails(m, 0.3, true),
             _ => {}
         }
         let t = &mut self.tasks[task];
         if over || phase != Phase::Out {
             t.phase = Phase::Over;
             if phase != Phase::Out {
-                self.serve_waiting(now);
+                self.serve_waiting();
             }
             return;
         }
@@ -533,15 +518,15 @@
         }
         t.phase = Phase::Waiting;
         let spent = f64::from(t.launches) >= self.rule("permissions.attemptsCap");
-        if spent || self.too_late(now, task) {
+        if spent || self.too_late(task) {
             self.give_up(task);
-        } else if !self.place(now, task) {
+        } else if !self.place(task) {
             self.tasks[task].tried.clear();
-            self.wait(now, task);
+            self.wait(task);
         }
     }
 
-    pub fn expired(&mut self, now: i64, task: usize) {
+    pub fn expired(&mut self, task: usize) {
         let t = &mut self.tasks[task];
         if t.phase == Phase::Out && self.rule("permissions.cancelling") > 0.0 {
             let launch = self.tasks[task].launches - 1;
@@ -549,23 +534,23 @@
         }
         self.tasks[task].phase = Phase::Over;
         self.waiting.retain(|&o| o != task);
-        self.serve_waiting(now);
+        self.serve_waiting();
     }
 
     /// Waits for room, with a timer of its own for the last moment at which a launch could be answered.
-    fn wait(&mut self, now: i64, task: usize) {
+    fn wait(&mut self, task: usize) {
         let t = &self.tasks[task];
-        let stop = t.limit_at - self.answer_us[t.framework] as i64 - now;
+        let stop = t.limit_at - self.answer_us[t.framework] as i64 - self.now;
         let token = self.token(task);
         self.host.timer(stop.max(0), token);
         self.waiting.push(task);
     }
 
     /// Too little time for an answer, or what may have run forbids every further launch.
-    fn too_late(&self, now: i64, task: usize) -> bool {
+    fn too_late(&self, task: usize) -> bool {
         let t = &self.tasks[task];
-        let barred = t.unsure.is_some_and(|u| !self.group_allows(now, task, u.0));
-        barred || now + self.answer_us[t.framework] as i64 >= t.limit_at
+        let barred = t.unsure.is_some_and(|u| !self.group_allows(task, u.0));
+        barred || self.now + self.answer_us[t.framework] as i64 >= t.limit_at
     }
 
     /// The final answer: declined where a further try is harmless, else aborted.
@@ -582,7 +567,7 @@
     }
 
     /// Room may have come: those who wait are tried by value, the oldest first.
-    fn serve_waiting(&mut self, now: i64) {
+    fn serve_waiting(&mut self) {
         let mut line = std::mem::take(&mut self.waiting);
         let value = |o: usize| self.per(self.tasks[o].framework, "worth");
         let stamp = |o: usize| self.tasks[o].stamp;
@@ -590,16 +575,16 @@
         let mut least = vec![f64::MAX; self.shares.len()];
         for task in line {
             let (f, cores) = (self.tasks[task].framework, self.tasks[task].cores);
-            if self.too_late(now, task) {
+            if self.too_late(task) {
                 self.give_up(task);
-            } else if cores >= least[f] || !self.place(now, task) {
+            } else if cores >= least[f] || !self.place(task) {
                 least[f] = least[f].min(cores);
                 self.waiting.push(task);
             }
         }
     }
 
-    pub fn timer_due(&mut self, now: i64, token: u64) {
+    pub fn timer_due(&mut self, token: u64) {
         if token != 0 {
             let task = (token & 0xffff_ffff) as usize;
             let due = self.tasks[task].phase == Phase::Waiting && self.token(task) == token;
@@ -610,59 +595,59 @@
             return;
         }
         self.host.timer(TICK, 0);
-        if now >= self.list_due {
-            self.ask_for_list(now);
+        if self.now >= self.list_due {
+            self.ask_for_list();
         }
-        self.probe_round(now);
-        self.serve_waiting(now);
+        self.probe_round();
+        self.serve_waiting();
     }
 
     fn token(&self, task: usize) -> u64 {
         (self.tasks[task].stamp & 0x3fff_ffff) << 32 | task as u64
     }
 
-    fn probe_round(&mut self, now: i64) {
+    fn probe_round(&mut self) {
         let may = self.rule("permissions.probes") > 0.0;
         for m in 0..self.mac.listed.len() {
             let last = self.mac.report_at[m].max(self.mac.probed_at[m]);
-            if may && self.mac.listed[m] && (last == 0 || now - last >= PROBE_EVERY) {
-                self.mac.probed_at[m] = now;
+            if may && self.mac.listed[m] && (last == 0 || self.now - last >= PROBE_EVERY) {
+                self.mac.probed_at[m] = self.now;
                 self.host.probe(m);
             }
         }
     }
 
-    pub fn probed(&mut self, now: i64, m: usize, outcome: Outcome, report: &[f64]) {
+    pub fn probed(&mut self, m: usize, outcome: Outcome, report: &[f64]) {
         self.know_machine(m);
         if outcome == Outcome::Ended {
-            self.read_report(now, m, report);
-            self.answers(now, m);
+            self.read_report(m, report);
+            self.answers(m);
         } else if outcome != Outcome::Full {
-            self.fails(now, m, 0.3, true);
+            self.fails(m, 0.3, true);
         }
     }
 
     /// A machine that was silent answers: it may have restarted before the list says so.
-    fn answers(&mut self, now: i64, m: usize) {
+    fn answers(&mut self, m: usize) {
         if self.mac.silent[m] {
-            (self.mac.silent[m], self.mac.shun_until[m]) = (false, now);
-            self.mac.cold_until[m] = self.mac.cold_until[m].max(now + self.rule("rules.coldUs") as i64);
+            (self.mac.silent[m], self.mac.shun_until[m]) = (false, self.now);
+            self.mac.cold_until[m] = self.mac.cold_until[m].max(self.now + self.rule("rules.coldUs") as i64);
         }
     }
 
     /// Each failure makes the machine ail more, and the more it ails the longer it is left alone.
-    fn fails(&mut self, now: i64, m: usize, weight: f64, silent: bool) {
+    fn fails(&mut self, m: usize, weight: f64, silent: bool) {
         self.mac.ailing[m] += weight * (1.0 - self.mac.ailing[m]);
         self.mac.silent[m] |= silent;
-        self.mac.shun_until[m] = now + (self.mac.ailing[m] * 4_000_000.0) as i64;
+        self.mac.shun_until[m] = self.now + (self.mac.ailing[m] * 4_000_000.0) as i64;
     }
 
-    fn read_report(&mut self, now: i64, m: usize, report: &[f64]) {
+    fn read_report(&mut self, m: usize, report: &[f64]) {
         for (i, &value) in report.iter().enumerate() {
             match text(&self.given, &format!("stats.fields.{i}")) {
                 "x0" => {
                     self.mac.used_cores[m] = (self.mac.cores[m] - value).max(0.0);
-                    self.mac.report_at[m] = now;
+                    self.mac.report_at[m] = self.now;
                 }
                 "x1" => self.mac.used_memory[m] = (self.mac.memory[m] - value).max(0.0),
                 _ => {}
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -9,9 +9,9 @@
 fn the_fullest_fitting_machine_is_picked() {
     let mut p = planner(&[], &[2.0, 9.0, 15.5]);
     small(&mut p, 0, 0);
-    p.accepted(10_020_000, 0);
+    p.accepted(0);
     for task in 1..4 {
-        p.noted(10_030_000, 0, 2, 0.5);
+        p.noted(0, 2, 0.5);
         large(&mut p, task, task);
     }
     expect![[r#"
@@ -25,7 +25,7 @@
 #[test]
 fn machines_that_hold_the_program_go_first() {
     let mut p = planner(&[], &[2.0, 9.0]);
-    p.found(10_000_000, 0, 0, None, 5, 1.0, 2.0, 0);
+    p.found(0, 0, None, 5, (1.0, 2.0), 0);
     small(&mut p, 1, 5);
     small(&mut p, 2, 6);
     expect![[r#"
@@ -55,7 +55,7 @@
 fn a_refused_task_that_waits_is_answered_in_time() {
     let mut p = planner(&[("permissions.attemptsCap", "9")], &[2.0]);
     small(&mut p, 0, 0);
-    p.host.now = 15_650_000;
+    at_time(&mut p, 15_650_000);
     end(&mut p, 0, Full, 2, false);
     pass(&mut p, 17_000_000);
     expect![[r#"
@@ -70,13 +70,13 @@
 fn small_tasks_make_way_for_a_large_one() {
     let mut p = planner(&[], &[12.0]);
     for task in 0..6 {
-        p.found(10_000_000, task, 0, None, task, 2.0, 2.0, 0);
-        p.noted(10_000_000, task, 2, 1.8);
+        p.found(task, 0, None, task, (2.0, 2.0), 0);
+        p.noted(task, 2, 1.8);
     }
     large(&mut p, 6, 9);
-    p.accepted(10_050_000, 6);
-    p.host.now = 10_900_000;
-    p.noted(10_900_000, 6, 4, 0.1);
+    p.accepted(6);
+    at_time(&mut p, 10_900_000);
+    p.noted(6, 4, 0.1);
     expect![[r#"
          10000 ms  move task 0
          10000 ms  move task 1
@@ -92,12 +92,14 @@
 fn a_keyed_task_keeps_to_its_group_and_window() {
     let mut p = planner(&[("classes.1.group", "zone")], &[2.0, 3.0, 1.0]);
     large(&mut p, 0, 0);
-    p.host.now = 14_000_000;
+    at_time(&mut p, 14_000_000);
     end(&mut p, 0, TimedOut, 0, false);
     large(&mut p, 1, 1);
-    p.host.now += 400_000;
+    let now = p.host.now + 400_000;
+    at_time(&mut p, now);
     end(&mut p, 1, ConnectFailed, 0, false);
-    p.host.now += 5_900_000;
+    let now = p.host.now + 5_900_000;
+    at_time(&mut p, now);
     end(&mut p, 1, Error, 0, false);
     expect![[r#"
          10000 ms  launch task 0 on machine 1 for 9000 ms
@@ -148,7 +150,7 @@
     let mut p = planner(&[], &[2.0]);
     list(&mut p, false, &[(0, Ready, 9_900_000)]);
     small(&mut p, 0, 0);
-    p.host.now = 13_000_000;
+    at_time(&mut p, 13_000_000);
     for task in 1..6 {
         small(&mut p, task, task);
     }
@@ -172,11 +174,11 @@
         ("familyInfo.mostTogether.0", "2"),
     ];
     let mut p = planner(&spread, &[3.0, 2.0, 1.0]);
-    p.found(10_000_000, 0, 0, None, 0, 1.0, 2.0, 1);
+    p.found(0, 0, None, 0, (1.0, 2.0), 1);
     for task in 1..4 {
         small(&mut p, task, 0);
     }
-    p.expired(10_000_000, 1);
+    p.expired(1);
     small(&mut p, 4, 0);
     end(&mut p, 1, Cancelled, 0, true);
     small(&mut p, 5, 0);
@@ -195,11 +197,11 @@
 fn a_silent_machine_is_left_alone_then_tried() {
     let mut p = planner(&[], &[2.0, 9.0]);
     small(&mut p, 0, 0);
-    p.host.now = 10_300_000;
+    at_time(&mut p, 10_300_000);
     end(&mut p, 0, ConnectFailed, 0, false);
     small(&mut p, 1, 1);
-    p.host.now = 14_000_000;
-    p.probed(14_000_000, 1, Ended, &[7.0, 23.0]);
+    at_time(&mut p, 14_000_000);
+    p.probed(1, Ended, &[7.0, 23.0]);
     for task in 2..6 {
         small(&mut p, task, task);
     }
@@ -219,7 +221,7 @@
 #[test]
 fn the_list_is_watched_and_asked_for_again() {
     let mut p = planner(&[("discovery", "ask")], &[2.0]);
-    p.list_lost(10_000_000);
+    p.list_lost();
     pass(&mut p, 19_000_000);
     small(&mut p, 0, 0);
     pass(&mut p, 21_000_000);
@@ -242,11 +244,11 @@
 fn what_is_over_stays_over() {
     let mut p = planner(&[], &[16.0]);
     large(&mut p, 0, 0);
-    p.expired(10_000_000, 0);
+    p.expired(0);
     large(&mut p, 0, 1);
     list(&mut p, false, &[(0, Gone, 0)]);
     pass(&mut p, 29_000_000);
-    p.expired(29_000_000, 0);
+    p.expired(0);
     expect![[r#"
          16500 ms  decline task 0
     "#]]
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -89,30 +89,34 @@
             .collect::<Vec<_>>(),
     );
     for (m, used) in machines.iter().enumerate() {
-        p.probed(10_000_000, m, Outcome::Ended, &[16.0 - used, 32.0 - used]);
+        p.probed(m, Outcome::Ended, &[16.0 - used, 32.0 - used]);
     }
     p
 }
 
 pub fn list(p: &mut Planner<Trace>, whole: bool, machines: &[(usize, Readiness, i64)]) {
-    let now = p.host.now;
-    p.list_begins(now, whole, true);
+    p.list_begins(whole, true);
     for &(m, readiness, started) in machines {
-        p.machine_listed(now, m, 0, m % 2, m / 2, readiness, started, 0.0, 0.0);
+        p.machine_listed(m, (0, m % 2, m / 2), readiness, started, (0.0, 0.0));
     }
-    p.list_ends(now);
+    p.list_ends();
 }
 
 pub fn small(p: &mut Planner<Trace>, task: usize, service: usize) {
-    p.wanted(p.host.now, task, 0, None, service, 1.0, 2.0, 6_000_000);
+    p.wanted(task, 0, None, service, (1.0, 2.0), 6_000_000);
 }
 
 pub fn large(p: &mut Planner<Trace>, task: usize, service: usize) {
-    p.wanted(p.host.now, task, 1, None, service, 4.0, 8.0, 9_000_000);
+    p.wanted(task, 1, None, service, (4.0, 8.0), 9_000_000);
 }
 
 pub fn end(p: &mut Planner<Trace>, task: usize, outcome: Outcome, why: i64, over: bool) {
-    p.resolved(p.host.now, task, outcome, why, over, &[]);
+    p.resolved(task, outcome, why, over, &[]);
+}
+
+pub fn at_time(p: &mut Planner<Trace>, now: i64) {
+    p.host.now = now;
+    p.clock(now);
 }
 
 /// Lets time pass; timers that come due on the way are handed in, in order.
@@ -123,8 +127,8 @@
             break;
         }
         p.host.timers.remove(i);
-        p.host.now = at;
-        p.timer_due(at, token);
+        at_time(p, at);
+        p.timer_due(token);
     }
-    p.host.now = until;
+    at_time(p, until);
 }
