--- a/src/logic.rs
+++ b/src/logic.rs
@@ -312,7 +312,7 @@
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
                 crowded.push((m, -over_cores, 0));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
-                let line = self.movable(m, f);
+                let line = self.movable(m, self.priority(f));
                 let line = || line.iter().map(|&o| &self.tasks[o]);
                 let free: f64 = line().map(|t| self.uses[t.service].mean).sum();
                 let free_memory = line().map(|t| t.memory).sum::<f64>() * self.memory_use;
@@ -334,7 +334,7 @@
             fits[self.chance.usize(0..fits.len())].0
         } else if room.0 < f64::MAX {
             // No machine fits a task of higher priority: room is made where the least must move.
-            let line = self.movable(room.1, f);
+            let line = self.movable(room.1, self.priority(f));
             self.relieve(line, room.2, room.3);
             room.1
         } else {
@@ -461,7 +461,7 @@
         let busy = calm + self.rule(&format!("familyInfo.fadeSpan.{f}")) * (1.0 - value);
         let told = (self.mac.used_cores[m] / (busy * self.mac.cores[m])).clamp(0.3, 1.0);
         self.mac.speed[m] += 0.5 * (if value < 0.95 { told } else { 1.0 } - self.mac.speed[m]);
-        let line = self.movable(m, f);
+        let line = self.movable(m, self.priority(f));
         if value < 0.9 && !line.is_empty() {
             self.relieve(line, 0.1 * self.mac.cores[m], 0.0);
         } else if value < POOR && self.priority(f) > 0.0 && self.tasks[task].phase == Phase::Placed {
@@ -600,6 +600,31 @@
         }
         self.probe_round();
         self.serve_waiting();
+        if self.now % 1_000_000 < TICK {
+            self.empty_one();
+        }
+    }
+
+    /// Where machines in use have a price, the least used one is emptied, a few own tasks a second, while
+    /// the others have many times its use left: best fit alone never ends what small tasks keep alive.
+    fn empty_one(&mut self) {
+        let mac = &self.mac;
+        let used = |m: usize| mac.used_cores[m] / mac.cores[m];
+        let in_use: Vec<usize> = (0..mac.listed.len())
+            .filter(|&m| mac.listed[m] && used(m) > 0.02)
+            .collect();
+        let Some(&m) = in_use.iter().min_by(|&&a, &&b| used(a).total_cmp(&used(b))) else {
+            return;
+        };
+        let left: f64 = in_use
+            .iter()
+            .map(|&o| (0.7 * mac.cores[o] - mac.used_cores[o]).max(0.0))
+            .sum();
+        let idle = used(m) < 0.25 && left > 5.0 * mac.used_cores[m] && self.waiting.is_empty();
+        let line = self.movable(m, f64::MAX);
+        if idle && line.len() == mac.held[m].len() && self.rule("tariffs.fleet") > 0.0 {
+            self.relieve(line.into_iter().take(3).collect(), f64::MAX, 0.0);
+        }
     }
 
     fn token(&self, task: usize) -> u64 {
@@ -704,8 +729,8 @@
     }
 
     /// Own placed tasks on a machine that give way to a framework: of lower priority, free to run again.
-    fn movable(&self, m: usize, f: usize) -> Vec<usize> {
-        let below = |t: &Task| self.priority(t.framework) < self.priority(f);
+    fn movable(&self, m: usize, priority: f64) -> Vec<usize> {
+        let below = |t: &Task| self.priority(t.framework) < priority;
         let may =
             |t: &Task| t.phase == Phase::Placed && below(t) && self.semantics(t.framework) == "retryable";
         let held = self.mac.held[m].iter().copied();
