--- a/src/logic.rs
+++ b/src/logic.rs
@@ -430,7 +430,7 @@
         self.mac.ailing[m] *= 0.8;
         self.answers(m);
         if text(&self.given, "familyInfo.yesAt") == "running" {
-            self.runs(task);
+            self.tasks[task].ran_at = self.now;
         }
     }
 
@@ -439,7 +439,7 @@
         let t = &self.tasks[task];
         let (f, s) = (t.framework, t.service);
         match sort {
-            1 => self.runs(task),
+            1 if t.ran_at == 0 => self.tasks[task].ran_at = self.now,
             2 => {
                 let share = value / t.cores.max(0.001);
                 self.uses[s].learn(value, 32.0);
@@ -477,12 +477,6 @@
         }
     }
 
-    fn runs(&mut self, task: usize) {
-        if self.tasks[task].ran_at == 0 {
-            self.tasks[task].ran_at = self.now;
-        }
-    }
-
     pub fn resolved(&mut self, task: usize, end: Outcome, why: i64, over: bool, report: &[f64]) {
         let t = &self.tasks[task];
         let (m, s, phase, sent_at, ran_at) = (t.machine, t.service, t.phase, t.sent_at, t.ran_at);
@@ -587,8 +581,7 @@
     pub fn timer_due(&mut self, token: u64) {
         if token != 0 {
             let task = (token & 0xffff_ffff) as usize;
-            let due = self.tasks[task].phase == Phase::Waiting && self.token(task) == token;
-            if due {
+            if self.tasks[task].phase == Phase::Waiting && self.token(task) == token {
                 self.waiting.retain(|&o| o != task);
                 self.give_up(task);
             }
@@ -755,15 +748,13 @@
     /// Whether a task's tenant holds, through this planner, far more than its part of the tenant's cores: an
     /// even part, or more where this planner holds more of all that the list shows as asked.
     fn over_share(&self, task: usize) -> bool {
-        let Some(tenant) = self.tasks[task].tenant else {
-            return false;
-        };
+        let tenant = self.tasks[task].tenant;
         let listed = || (0..self.mac.listed.len()).filter(|&m| self.mac.listed[m]);
         let asked: f64 = listed().map(|m| self.mac.cores[m] - self.mac.view[m].0).sum();
         let all = || listed().flat_map(|m| self.own(m));
-        let held: f64 = all().filter(|t| t.tenant == Some(tenant)).map(|t| t.cores).sum();
+        let held: f64 = all().filter(|t| t.tenant == tenant).map(|t| t.cores).sum();
         let part = (all().map(|t| t.cores).sum::<f64>() / asked.max(1.0)).max(1.0 / self.rule("nInstances"));
-        held > FAR * part * self.rule(&format!("familyInfo.quotaCores.{tenant}"))
+        tenant.is_some_and(|t| held > FAR * part * self.rule(&format!("familyInfo.quotaCores.{t}")))
     }
 
     /// Mean variance-to-mean ratio of the known services.
