--- a/src/logic.rs
+++ b/src/logic.rs
@@ -710,7 +710,10 @@
         let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
         let program = self.own(m).any(runs) || self.mac.kept[m].contains(&s);
         let others = self.own(m).all(|t| calm(t.framework));
-        8 * u8::from(short) + 4 * u8::from(calm(f)) + 2 * u8::from(program) + u8::from(others)
+        let zone = text(&self.given, &format!("localities.{}", self.mac.place[m].1));
+        let near = self.rule("tariffs.crossZone") == 0.0 || zone == text(&self.given, "myZone");
+        let marks = [short, calm(f), program, near, others];
+        marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
     fn semantics(&self, f: usize) -> &str {
