--- a/src/logic.rs
+++ b/src/logic.rs
@@ -120,6 +120,8 @@
     /// The clock as last told, and when this planner was started.
     now: i64,
     born_at: i64,
+    /// The machine that is being emptied.
+    emptied: Option<usize>,
     stamp: u64,
     tasks: Vec<Task>,
     waiting: Vec<usize>,
@@ -146,6 +148,7 @@
             chance: fastrand::Rng::with_seed(seed),
             now,
             born_at: now,
+            emptied: None,
             stamp: 0,
             tasks: Vec::new(),
             waiting: Vec::new(),
@@ -615,7 +618,9 @@
             .sum();
         let idle = used(m) < 0.25 && left > 5.0 * mac.used_cores[m] && self.waiting.is_empty();
         let line = self.movable(m, f64::MAX);
+        self.emptied = None;
         if idle && line.len() == mac.held[m].len() && self.rule("tariffs.fleet") > 0.0 {
+            self.emptied = Some(m);
             self.relieve(line.into_iter().take(3).collect(), f64::MAX, 0.0);
         }
     }
@@ -708,7 +713,7 @@
         let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * cores >= ucac;
         let short = self.own(m).filter(|t| t.ran_at == 0).count() < LINE;
         let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
-        let program = self.own(m).any(runs) || self.mac.kept[m].contains(&s);
+        let program = self.emptied != Some(m) && (self.own(m).any(runs) || self.mac.kept[m].contains(&s));
         let others = self.own(m).all(|t| calm(t.framework));
         let zone = text(&self.given, &format!("localities.{}", self.mac.place[m].1));
         let near = self.rule("tariffs.crossZone") == 0.0 || zone == text(&self.given, "myZone");
