--- a/src/logic.rs
+++ b/src/logic.rs
@@ -266,9 +266,8 @@
         let t = &self.tasks[task];
         let (f, s, cores, memory) = (t.framework, t.service, t.cores, t.memory);
         let (mu, b) = (self.uses[s].mean, self.uses[s].variance);
-        // Waiting costs more than a thin margin: it melts away early in the latency goal. From then on a
-        // task that crowding only slows is better started on the least crowded machine than late.
-        // Work beyond its tenant's share, worth little, keeps the whole margin.
+        // Waiting costs more than a thin margin: it melts away early in the latency goal, but for work
+        // beyond its tenant's share. Then a task that crowding only slows goes to the least crowded machine.
         let waited = if self.over_share(task) {
             0
         } else {
@@ -286,17 +285,13 @@
         let mut fits: Vec<(usize, f64, u8)> = Vec::new();
         let mut crowded = Vec::new();
         let mut room = (f64::MAX, 0, 0.0, 0.0);
-        for m in 0..self.mac.listed.len() {
-            if !self.may_send(task, m) {
-                continue;
-            }
+        for m in self.ready().filter(|&m| self.may_send(task, m)) {
             let (c, big_b, later_cores, later_memory) = self.load(m, ratio, average);
             let ucac = c + mu + D * (big_b + b).sqrt();
             let over_cores = c + mu + (1.0 - ease) * D * (big_b + b).sqrt() - HEADROOM * self.mac.cores[m];
             // All that a machine has accepted: listed late, or else told by what is used.
             let mut asked = self.mac.used_cores[m] / self.shares[f].mean.max(0.1) + later_cores;
-            let mut asked_memory = 0.0;
-            let mut unasked_memory = 0.0;
+            let (mut asked_memory, mut unasked_memory) = (0.0, 0.0);
             if view {
                 let (since_cores, since_memory) = self.asked_since(m, self.mac.view_at[m] - VIEW_LAG);
                 asked = self.mac.cores[m] - self.mac.view[m].0 + since_cores;
@@ -360,7 +355,7 @@
         let (f, s) = (t.framework, t.service);
         let kind = self.rule(&format!("familyInfo.classKind.{f}"));
         let wrong_kind = kind >= 0.0 && kind as usize != self.mac.place[m].0;
-        if !self.mac.listed[m] || wrong_kind || !self.list_holds() || !self.group_allows(task, m) {
+        if wrong_kind || !self.list_holds() || !self.group_allows(task, m) {
             return false;
         }
         // A machine that fails is left alone, then tried with one launch at a time.
@@ -471,10 +466,10 @@
             let mac = &self.mac;
             let calm_there = |o: usize| {
                 let cores = mac.used_cores[o] + mean <= calm * mac.speed[o] * mac.cores[o];
-                let well = o != m && mac.listed[o] && self.now >= mac.shun_until[o];
+                let well = o != m && self.now >= mac.shun_until[o];
                 well && cores && mac.used_memory[o] + memory <= MEMORY_SHARE * mac.memory[o]
             };
-            if (0..mac.listed.len()).any(calm_there) {
+            if self.ready().any(calm_there) {
                 self.relieve(vec![task], mean, 0.0);
             }
         }
@@ -596,9 +591,7 @@
         }
         self.probe_round();
         self.serve_waiting();
-        if self.now % 1_000_000 < TICK {
-            self.empty_one();
-        }
+        self.empty_one();
     }
 
     /// Where machines in use have a price, the least used one is emptied, a few own tasks a second, while
@@ -606,21 +599,19 @@
     fn empty_one(&mut self) {
         let mac = &self.mac;
         let used = |m: usize| mac.used_cores[m] / mac.cores[m];
-        let in_use: Vec<usize> = (0..mac.listed.len())
-            .filter(|&m| mac.listed[m] && used(m) > 0.02)
-            .collect();
-        let Some(&m) = in_use.iter().min_by(|&&a, &&b| used(a).total_cmp(&used(b))) else {
+        let in_use = || self.ready().filter(|&m| used(m) > 0.02);
+        let least = in_use().min_by(|&a, &b| used(a).total_cmp(&used(b)));
+        let Some(m) = least.filter(|_| self.now % 1_000_000 < TICK) else {
             return;
         };
-        let left: f64 = in_use
-            .iter()
-            .map(|&o| (0.7 * mac.cores[o] - mac.used_cores[o]).max(0.0))
+        let left: f64 = in_use()
+            .map(|o| (0.7 * mac.cores[o] - mac.used_cores[o]).max(0.0))
             .sum();
         let idle = used(m) < 0.25 && left > 5.0 * mac.used_cores[m] && self.waiting.is_empty();
         let line = self.movable(m, f64::MAX);
-        self.emptied = None;
-        if idle && line.len() == mac.held[m].len() && self.rule("tariffs.fleet") > 0.0 {
-            self.emptied = Some(m);
+        let all = line.len() == mac.held[m].len() && self.rule("tariffs.fleet") > 0.0;
+        self.emptied = Some(m).filter(|_| idle && all);
+        if self.emptied.is_some() {
             self.relieve(line.into_iter().take(3).collect(), f64::MAX, 0.0);
         }
     }
@@ -631,12 +622,11 @@
 
     fn probe_round(&mut self) {
         let may = self.rule("permissions.probes") > 0.0;
-        for m in 0..self.mac.listed.len() {
-            let last = self.mac.report_at[m].max(self.mac.probed_at[m]);
-            if may && self.mac.listed[m] && (last == 0 || self.now - last >= PROBE_EVERY) {
-                self.mac.probed_at[m] = self.now;
-                self.host.probe(m);
-            }
+        let old = |m: usize| self.now - self.mac.report_at[m].max(self.mac.probed_at[m]) >= PROBE_EVERY;
+        let due: Vec<usize> = self.ready().filter(|&m| may && old(m)).collect();
+        for m in due {
+            self.mac.probed_at[m] = self.now;
+            self.host.probe(m);
         }
     }
 
@@ -757,9 +747,8 @@
     /// even part, or more where this planner holds more of all that the list shows as asked.
     fn over_share(&self, task: usize) -> bool {
         let tenant = self.tasks[task].tenant;
-        let listed = || (0..self.mac.listed.len()).filter(|&m| self.mac.listed[m]);
-        let asked: f64 = listed().map(|m| self.mac.cores[m] - self.mac.view[m].0).sum();
-        let all = || listed().flat_map(|m| self.own(m));
+        let asked: f64 = self.ready().map(|m| self.mac.cores[m] - self.mac.view[m].0).sum();
+        let all = || self.ready().flat_map(|m| self.own(m));
         let held: f64 = all().filter(|t| t.tenant == tenant).map(|t| t.cores).sum();
         let part = (all().map(|t| t.cores).sum::<f64>() / asked.max(1.0)).max(1.0 / self.rule("nInstances"));
         tenant.is_some_and(|t| held > FAR * part * self.rule(&format!("familyInfo.quotaCores.{t}")))
@@ -773,7 +762,7 @@
 
     fn average_load(&self, ratio: f64) -> (f64, f64) {
         let mac = &self.mac;
-        let reported = || (0..mac.listed.len()).filter(|&m| mac.listed[m] && mac.report_at[m] > 0);
+        let reported = || self.ready().filter(|&m| mac.report_at[m] > 0);
         let n = reported().count().max(1) as f64;
         let sum = reported().map(|m| self.load(m, ratio, (0.0, 0.0)));
         let (c, b) = sum.fold((0.0, 0.0), |acc, x| (acc.0 + x.0, acc.1 + x.1));
@@ -785,6 +774,11 @@
         late.fold((0.0, 0.0), |acc, t| (acc.0 + t.cores, acc.1 + t.memory))
     }
 
+    /// Machines that the list shows as ready.
+    fn ready(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.mac.listed.len()).filter(|&m| self.mac.listed[m])
+    }
+
     /// Tasks with a launch on a machine that has no outcome yet.
     fn own(&self, m: usize) -> impl Iterator<Item = &Task> {
         self.mac.held[m].iter().map(|&o| &self.tasks[o])
