--- a/src/logic.rs
+++ b/src/logic.rs
@@ -410,11 +410,13 @@
         kept && self.now + travel < at + self.per(t.framework, "windowUs") as i64
     }
 
-    /// How long a launch may go without an answer: several times the usual, half of the limit at least.
+    /// How long a launch may go without an answer: half of the limit, or all of it where the answer comes
+    /// only once the task runs, as a start given up is work lost.
     fn patience(&self, task: usize) -> i64 {
         let t = &self.tasks[task];
-        let usual = (0.5 * self.per(t.framework, "deadlineUs")).max(4.0 * self.answer_us[t.framework]);
-        (t.limit_at - self.now).min(usual as i64)
+        let at_start = text(&self.given, "familyInfo.yesAt") == "running";
+        let share = if at_start { 1.0 } else { 0.5 };
+        (t.limit_at - self.now).min((share * self.per(t.framework, "deadlineUs")) as i64)
     }
 
     pub fn accepted(&mut self, task: usize) {
