--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
 /// Programs that a machine is taken to keep after their last task.
 const KEPT: usize = 6;
 /// Own tasks yet to start that a machine may have before others go first.
-const LINE: usize = 6;
+const LINE: f64 = 6.0;
 /// Share of the latency goal over which a waiting task's margin melts.
 const EASE: f64 = 0.3;
 /// A tenant is judged to be beyond its share from this multiple of it on: a planner sees but a part.
@@ -110,6 +110,8 @@
     silent: Vec<bool>,
     /// What the machine's cores are worth, judged by how its tasks are served.
     speed: Vec<f64>,
+    /// Offers and starts in line, where reports tell.
+    line: Vec<f64>,
     probed_at: Vec<i64>,
 }
 
@@ -664,6 +666,7 @@
                     self.mac.used_cores[m] = (self.mac.cores[m] - value).max(0.0);
                     self.mac.report_at[m] = self.now;
                 }
+                "waiting" => self.mac.line[m] = value,
                 "x1" => self.mac.used_memory[m] = (self.mac.memory[m] - value).max(0.0),
                 _ => {}
             }
@@ -703,7 +706,8 @@
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
         let cores = self.mac.speed[m] * self.mac.cores[m];
         let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * cores >= ucac;
-        let short = self.own(m).filter(|t| t.ran_at == 0).count() < LINE;
+        let starting = self.own(m).filter(|t| t.ran_at == 0).count() as f64;
+        let short = starting.max(self.mac.line[m]) < LINE;
         let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
         let program = self.emptied != Some(m) && (self.own(m).any(runs) || self.mac.kept[m].contains(&s));
         let others = self.own(m).all(|t| calm(t.framework));
@@ -809,7 +813,7 @@
             let b = [&mut mac.cold_until, &mut mac.shun_until, &mut mac.probed_at];
             a.into_iter().chain(b).for_each(|times| times.push(0));
             let a = [&mut mac.cores, &mut mac.memory, &mut mac.used_cores];
-            let b = [&mut mac.used_memory, &mut mac.ailing];
+            let b = [&mut mac.used_memory, &mut mac.ailing, &mut mac.line];
             a.into_iter().chain(b).for_each(|figures| figures.push(0.0));
         }
     }
