--- a/src/logic.rs
+++ b/src/logic.rs
@@ -464,7 +464,8 @@
         let told = (self.mac.used_cores[m] / (busy * self.mac.cores[m])).clamp(0.3, 1.0);
         self.mac.speed[m] += 0.5 * (if value < 0.95 { told } else { 1.0 } - self.mac.speed[m]);
         let line = self.movable(m, self.priority(f));
-        if value < 0.9 && !line.is_empty() {
+        let crowded = self.mac.used_cores[m] > 0.6 * calm * self.mac.cores[m];
+        if value < 0.9 && crowded && !line.is_empty() {
             self.relieve(line, 0.1 * self.mac.cores[m], 0.0);
         } else if value < POOR && self.priority(f) > 0.0 && self.tasks[task].phase == Phase::Placed {
             let mac = &self.mac;
