--- a/src/logic.rs
+++ b/src/logic.rs
@@ -17,7 +17,7 @@
 /// A report is taken to contain a task that had run this long when it came; reports are late and rare.
 const REPORT_LAG: i64 = 1_500_000;
 const VIEW_LAG: i64 = 3_000_000;
-/// Programs that a machine is taken to keep after their last task.
+/// Programs taken to be kept by a machine after their last task.
 const KEPT: usize = 6;
 /// Own tasks yet to start that a machine may have before others go first.
 const LINE: f64 = 6.0;
@@ -29,6 +29,8 @@
 const POOR: f64 = 0.5;
 /// Launches to a machine that are remembered for its cold budget.
 const MOST_SENDS: usize = 256;
+/// The memory share for a task whose margin has melted: asks count in full but are not used in full.
+const MEMORY_EASED: f64 = 1.1;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -42,7 +44,7 @@
 }
 
 /// Mean and variance of one task's use, and the notes that they rest on.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 struct Use {
     mean: f64,
     variance: f64,
@@ -244,18 +246,16 @@
     }
 
     fn enter(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, asks: Room) {
-        if s >= self.uses.len() {
-            self.uses.resize(s + 1, Use::default());
-        }
+        let known = self.uses.len().max(s + 1);
+        self.uses.resize(known, Use::START);
         if self.uses[s].notes == 0.0 {
             // The ask and a quarter of its square, until notes of the framework tell better.
             let share = &self.shares[f];
             (self.uses[s].mean, self.uses[s].variance) =
                 (asks.0 * share.mean, asks.0 * asks.0 * share.variance);
         }
-        if task == self.tasks.len() {
-            self.tasks.push(Task::default());
-        }
+        let slots = self.tasks.len().max(task + 1);
+        self.tasks.resize_with(slots, Task::default);
         self.stamp += 1;
         let t = &mut self.tasks[task];
         *t = Task::default();
@@ -281,6 +281,7 @@
         let accepts_cores = self.rule("familyInfo.admitCores");
         let accepts_memory = self.rule("familyInfo.admitMemory");
         let view = self.rule("familyInfo.view") > 0.0;
+        let memory_share = MEMORY_SHARE + ease * (MEMORY_EASED - MEMORY_SHARE);
         let ratio = self.spread_ratio();
         let average = self.average_load(ratio);
         // Fits: machine, UCaC after the bind, how well it suits.
@@ -306,7 +307,7 @@
             }
             // Memory must fit what nobody asked for, or else a share of all by use.
             let used = self.mac.used_memory[m] + later_memory + memory;
-            let over_memory = (used - MEMORY_SHARE * self.mac.memory[m]).min(memory - unasked_memory);
+            let over_memory = (used - memory_share * self.mac.memory[m]).min(memory - unasked_memory);
             if over_cores <= 0.0 && over_memory <= 0.0 {
                 fits.push((m, ucac, self.suits(m, f, s, ucac)));
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
@@ -322,9 +323,7 @@
                 }
             }
         }
-        if fits.is_empty() {
-            fits = crowded;
-        }
+        let mut fits = if fits.is_empty() { crowded } else { fits };
         // Of the fitting machines those that suit best, of these the fullest.
         let best = fits.iter().map(|x| x.2).max().unwrap_or(0);
         fits.retain(|x| x.2 == best);
@@ -692,18 +691,13 @@
             return (average.0 + later, average.1 + b, later_cores, later_memory);
         }
         let used = self.mac.used_cores[m];
-        (
-            used + later,
-            b + (used - known).max(0.0) * ratio,
-            later_cores,
-            later_memory,
-        )
-    }
-
-    /// How well a fitting machine suits. Few own tasks are yet to start there: its line of offers and starts
-    /// is short and serial, and crowds form after mass losses. Its cores stay calm enough for the framework
-    /// to be served in full. It holds the program, as a start takes several times as long without. Own
-    /// tasks of other frameworks stay calm too.
+        b += (used - known).max(0.0) * ratio;
+        (used + later, b, later_cores, later_memory)
+    }
+
+    /// How well a fitting machine suits: its line of offers and starts is short, as crowds form after mass
+    /// losses; its cores stay calm enough for full service; it holds the program, as a start takes several
+    /// times as long without; it is near, where that has a price; own others there stay calm too.
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
         let cores = self.mac.speed[m] * self.mac.cores[m];
         let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * cores >= ucac;
