--- a/src/logic.rs
+++ b/src/logic.rs
@@ -31,6 +31,8 @@
 const MOST_SENDS: usize = 256;
 /// The memory share for a task whose margin has melted: asks count in full but are not used in full.
 const MEMORY_EASED: f64 = 1.1;
+/// Launches without an answer that a machine may have from this planner: its line is short.
+const MOST_OUT: usize = 10;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 
@@ -121,7 +123,7 @@
     pub host: H,
     given: Given,
     chance: fastrand::Rng,
-    /// The clock as last told, and when this planner was started.
+    /// The clock as the last call of `clock` told it, and when this planner was started.
     now: i64,
     born_at: i64,
     /// The machine that is being emptied.
@@ -172,16 +174,13 @@
         planner
     }
 
-    /// The time of the events that follow.
     pub fn clock(&mut self, now: i64) {
         self.now = now;
     }
 
     /// Entries follow, then `list_ends`. A whole list names every machine; only a fresh one counts as heard.
     pub fn list_begins(&mut self, whole: bool, fresh: bool) {
-        if whole {
-            self.mac.listed.fill(false);
-        }
+        self.mac.listed.iter_mut().for_each(|listed| *listed &= !whole);
         if fresh {
             (self.heard_at, self.list_fails, self.list_due) = (self.now, 0, i64::MAX);
         }
@@ -359,8 +358,9 @@
         if wrong_kind || !self.list_holds() || !self.group_allows(task, m) {
             return false;
         }
-        // A machine that fails is left alone, then tried with one launch at a time.
-        let trial = self.mac.ailing[m] > 0.2 && self.own(m).any(|t| t.phase == Phase::Out);
+        // A machine that fails is left alone, then tried with one launch at a time; none gets a crowd of them.
+        let most = if self.mac.ailing[m] > 0.2 { 1 } else { MOST_OUT };
+        let trial = self.own(m).filter(|t| t.phase == Phase::Out).count() >= most;
         if trial || self.now < self.mac.shun_until[m] || t.tried.contains(&m) {
             return false;
         }
@@ -523,10 +523,9 @@
     }
 
     pub fn expired(&mut self, task: usize) {
-        let t = &mut self.tasks[task];
+        let t = &self.tasks[task];
         if t.phase == Phase::Out && self.rule("permissions.cancelling") > 0.0 {
-            let launch = self.tasks[task].launches - 1;
-            self.host.cancel(task, launch);
+            self.host.cancel(task, t.launches - 1);
         }
         self.tasks[task].phase = Phase::Over;
         self.waiting.retain(|&o| o != task);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -254,3 +254,36 @@
     "#]]
     .assert_eq(&p.host.text);
 }
+
+/// Many tasks at once, as after a mass loss, make no long line on one machine: some wait for answers.
+#[test]
+fn a_crowd_is_not_sent_to_one_machine() {
+    let mut p = planner(&[("familyInfo.cpuOfKind.0", "100")], &[2.0]);
+    for task in 0..12 {
+        small(&mut p, task, 0);
+    }
+    p.host.text.clear();
+    p.accepted(3);
+    pass(&mut p, 10_100_000);
+    expect![[r#"
+        10100 ms  launch task 10 on machine 0 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// A large task that is served badly leaves a slow machine for a calm one, small ones there or not.
+#[test]
+fn a_badly_served_large_task_leaves_for_a_calm_machine() {
+    let mut p = planner(&[], &[6.0, 1.0]);
+    p.found(0, 1, None, 0, (4.0, 8.0), 0);
+    p.found(1, 0, None, 1, (1.0, 2.0), 0);
+    p.noted(0, 4, 0.2);
+    p.expired(0);
+    end(&mut p, 0, Cancelled, 0, true);
+    large(&mut p, 2, 0);
+    expect![[r#"
+        10000 ms  move task 0
+        10000 ms  launch task 2 on machine 1 for 4500 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
