--- a/src/logic.rs
+++ b/src/logic.rs
@@ -288,11 +288,11 @@
         let mut crowded = Vec::new();
         let mut room = (f64::MAX, 0, 0.0, 0.0);
         for m in self.ready().filter(|&m| self.may_send(task, m)) {
-            let (c, big_b, later_cores, later_memory) = self.load(m, ratio, average);
+            let (c, big_b, later_memory) = self.load(m, ratio, average);
             let ucac = c + mu + D * (big_b + b).sqrt();
             let over_cores = c + mu + (1.0 - ease) * D * (big_b + b).sqrt() - HEADROOM * self.mac.cores[m];
-            // All that a machine has accepted: listed late, or else told by what is used.
-            let mut asked = self.mac.used_cores[m] / self.shares[f].mean.max(0.1) + later_cores;
+            // All that a machine has accepted, listed late; where no list tells, own tasks at least.
+            let mut asked: f64 = self.own(m).map(|t| t.cores).sum();
             let (mut asked_memory, mut unasked_memory) = (0.0, 0.0);
             if view {
                 let (since_cores, since_memory) = self.asked_since(m, self.mac.view_at[m] - VIEW_LAG);
@@ -672,26 +672,24 @@
         }
     }
 
-    /// C and B of a machine, and the cores and memory asked by own binds that its report can't contain.
-    fn load(&self, m: usize, ratio: f64, average: (f64, f64)) -> (f64, f64, f64, f64) {
-        let (mut known, mut later, mut b) = (0.0, 0.0, 0.0);
-        let (mut later_cores, mut later_memory) = (0.0, 0.0);
+    /// C and B of a machine, and the memory asked by own binds that its report can't contain.
+    fn load(&self, m: usize, ratio: f64, average: (f64, f64)) -> (f64, f64, f64) {
+        let (mut known, mut later, mut b, mut later_memory) = (0.0, 0.0, 0.0, 0.0);
         for t in self.own(m).filter(|t| t.sent_at >= self.mac.started[m]) {
             b += self.uses[t.service].variance;
             if t.ran_at > 0 && t.ran_at + REPORT_LAG <= self.mac.report_at[m] {
                 known += self.uses[t.service].mean;
             } else {
                 later += self.uses[t.service].mean;
-                later_cores += t.cores;
                 later_memory += t.memory;
             }
         }
         if self.mac.report_at[m] == 0 {
-            return (average.0 + later, average.1 + b, later_cores, later_memory);
+            return (average.0 + later, average.1 + b, later_memory);
         }
         let used = self.mac.used_cores[m];
         b += (used - known).max(0.0) * ratio;
-        (used + later, b, later_cores, later_memory)
+        (used + later, b, later_memory)
     }
 
     /// How well a fitting machine suits: its line of offers and starts is short, as crowds form after mass
