Read-through: one lookup for framework figures, no work that is thrown away

- One lookup for a framework's figures (kin, the twin of per) in place of eight spelled-out names.
- A tenant's share is summed only for a task that has waited; it made no difference before.
- Whether the list holds is asked once a placing, not once a machine.
- The tasks that would make room for a large one are kept with the machine, not collected a second time.
- Emptying returns before its sums where it has no price or is not due; its state is set in one place.
- The adapter's empty line of ids comes from Default.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -39,6 +39,7 @@
 }
 
 /// One planner's side of the wire: its ids, and the lines it wants written.
+#[derive(Default)]
 struct Line {
     who: u64,
     text: String,
@@ -305,13 +306,7 @@
             lay_out("", &config, &mut given);
             let mut line = Line {
                 who,
-                text: String::new(),
-                tasks: Door::default(),
-                machines: Door::default(),
-                services: Door::default(),
-                out: Vec::new(),
-                over: Vec::new(),
-                names: HashMap::new(),
+                ..Line::default()
             };
             for list in ["classes", "tenants", "localities", "machineTypes"] {
                 line.names.insert(list, names(&config, list));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,7 +9,7 @@
 
 /// Confidence 99%: the standard normal quantile (the paper's D; DESIGN runs 99.9% and 99%).
 const D: f64 = 2.326;
-/// Share of a machine's cores that the mean plus margin may fill, and of its memory (DESIGN's defaults).
+/// Share of a machine's cores that the mean plus margin may fill, and of its memory (see docs/design.md).
 const HEADROOM: f64 = 1.0;
 const MEMORY_SHARE: f64 = 0.95;
 /// Machines whose UCaC is within this many cores of the best are drawn from at random (DESIGN's default).
@@ -270,14 +270,12 @@
         let (mu, b) = (self.uses[s].mean, self.uses[s].variance);
         // Waiting costs more than a thin margin: it melts away early in the latency goal, but for work
         // beyond its tenant's share. Then a task that crowding only slows goes to the least crowded machine.
-        let waited = if self.over_share(task) {
-            0
-        } else {
-            self.now - t.born_at
-        };
+        let mut waited = self.now - t.born_at;
+        if waited > 0 && self.over_share(task) {
+            waited = 0;
+        }
         let ease = (waited as f64 / (EASE * self.per(f, "objectiveUs")).max(1.0)).min(1.0);
-        let fade = self.rule(&format!("familyInfo.fadeSpan.{f}"));
-        let bears = self.rule(&format!("familyInfo.calmLevel.{f}")) + 0.5 * fade - HEADROOM;
+        let bears = self.kin(f, "calmLevel") + 0.5 * self.kin(f, "fadeSpan") - HEADROOM;
         let accepts_cores = self.rule("familyInfo.admitCores");
         let accepts_memory = self.rule("familyInfo.admitMemory");
         let view = self.rule("familyInfo.view") > 0.0;
@@ -287,11 +285,13 @@
         // Fits: machine, UCaC after the bind, how well it suits.
         let mut fits: Vec<(usize, f64, u8)> = Vec::new();
         let mut crowded = Vec::new();
-        let mut room = (f64::MAX, 0, 0.0, 0.0);
-        for m in self.ready().filter(|&m| self.may_send(task, m)) {
+        let mut room = (f64::MAX, 0, 0.0, 0.0, Vec::new());
+        let holds = self.list_holds();
+        for m in self.ready().filter(|&m| holds && self.may_send(task, m)) {
             let (c, big_b, later_memory) = self.load(m, ratio, average);
-            let ucac = c + mu + D * (big_b + b).sqrt();
-            let over_cores = c + mu + (1.0 - ease) * D * (big_b + b).sqrt() - HEADROOM * self.mac.cores[m];
+            let root = (big_b + b).sqrt();
+            let ucac = c + mu + D * root;
+            let over_cores = c + mu + (1.0 - ease) * D * root - HEADROOM * self.mac.cores[m];
             // All that a machine has accepted, listed late; where no list tells, own tasks at least.
             let mut asked: f64 = self.own(m).map(|t| t.cores).sum();
             let (mut asked_memory, mut unasked_memory) = (0.0, 0.0);
@@ -314,12 +314,12 @@
                 crowded.push((m, -over_cores, 0));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
                 let line = self.movable(m, self.priority(f));
-                let line = || line.iter().map(|&o| &self.tasks[o]);
-                let free: f64 = line().map(|t| self.uses[t.service].mean).sum();
-                let free_memory = line().map(|t| t.memory).sum::<f64>() * self.memory_use;
+                let leaving = || line.iter().map(|&o| &self.tasks[o]);
+                let free: f64 = leaving().map(|t| self.uses[t.service].mean).sum();
+                let free_memory = leaving().map(|t| t.memory).sum::<f64>() * self.memory_use;
                 let loss = (over_cores / self.mac.cores[m]).max(over_memory / self.mac.memory[m]);
                 if free >= over_cores && free_memory >= over_memory && loss < room.0 {
-                    room = (loss, m, over_cores, over_memory);
+                    room = (loss, m, over_cores, over_memory, line);
                 }
             }
         }
@@ -333,8 +333,7 @@
             fits[self.chance.usize(0..fits.len())].0
         } else if room.0 < f64::MAX {
             // No machine fits a task of higher priority: room is made where the least must move.
-            let line = self.movable(room.1, self.priority(f));
-            self.relieve(line, room.2, room.3);
+            self.relieve(room.4, room.2, room.3);
             room.1
         } else {
             return false;
@@ -354,18 +353,18 @@
     fn may_send(&self, task: usize, m: usize) -> bool {
         let t = &self.tasks[task];
         let (f, s) = (t.framework, t.service);
-        let kind = self.rule(&format!("familyInfo.classKind.{f}"));
+        let kind = self.kin(f, "classKind");
         let wrong_kind = kind >= 0.0 && kind as usize != self.mac.place[m].0;
-        if wrong_kind || !self.list_holds() || !self.group_allows(task, m) {
+        if wrong_kind || !self.group_allows(task, m) {
             return false;
         }
-        // A machine that fails is left alone, then tried with one launch at a time; none gets a crowd of them.
+        // A machine that fails is left alone, then tried with one launch at a time; none gets a crowd.
         let most = if self.mac.ailing[m] > 0.2 { 1 } else { MOST_OUT };
         let trial = self.own(m).filter(|t| t.phase == Phase::Out).count() >= most;
         if trial || self.now < self.mac.shun_until[m] || t.tried.contains(&m) {
             return false;
         }
-        let most = self.rule(&format!("familyInfo.mostTogether.{f}")) as usize;
+        let most = self.kin(f, "mostTogether") as usize;
         let place = text(&self.given, &format!("familyInfo.classSpread.{f}"));
         let together = |o: usize| match place {
             "machine" => o == m,
@@ -459,8 +458,8 @@
     fn served(&mut self, task: usize, value: f64) {
         let t = &self.tasks[task];
         let (f, m, mean, memory) = (t.framework, t.machine, self.uses[t.service].mean, t.memory);
-        let calm = self.rule(&format!("familyInfo.calmLevel.{f}"));
-        let busy = calm + self.rule(&format!("familyInfo.fadeSpan.{f}")) * (1.0 - value);
+        let calm = self.kin(f, "calmLevel");
+        let busy = calm + self.kin(f, "fadeSpan") * (1.0 - value);
         let told = (self.mac.used_cores[m] / (busy * self.mac.cores[m])).clamp(0.3, 1.0);
         self.mac.speed[m] += 0.5 * (if value < 0.95 { told } else { 1.0 } - self.mac.speed[m]);
         let line = self.movable(m, self.priority(f));
@@ -601,21 +600,22 @@
     /// Where machines in use have a price, the least used one is emptied, a few own tasks a second, while
     /// the others have many times its use left: best fit alone never ends what small tasks keep alive.
     fn empty_one(&mut self) {
+        if self.rule("tariffs.fleet") <= 0.0 || self.now % 1_000_000 >= TICK {
+            return;
+        }
         let mac = &self.mac;
         let used = |m: usize| mac.used_cores[m] / mac.cores[m];
         let in_use = || self.ready().filter(|&m| used(m) > 0.02);
-        let least = in_use().min_by(|&a, &b| used(a).total_cmp(&used(b)));
-        let Some(m) = least.filter(|_| self.now % 1_000_000 < TICK) else {
+        let Some(m) = in_use().min_by(|&a, &b| used(a).total_cmp(&used(b))) else {
             return;
         };
-        let left: f64 = in_use()
-            .map(|o| (0.7 * mac.cores[o] - mac.used_cores[o]).max(0.0))
-            .sum();
+        let spare = |o: usize| (0.7 * mac.cores[o] - mac.used_cores[o]).max(0.0);
+        let left: f64 = in_use().map(spare).sum();
         let idle = used(m) < 0.25 && left > 5.0 * mac.used_cores[m] && self.waiting.is_empty();
         let line = self.movable(m, f64::MAX);
-        let all = line.len() == mac.held[m].len() && self.rule("tariffs.fleet") > 0.0;
-        self.emptied = Some(m).filter(|_| idle && all);
-        if self.emptied.is_some() {
+        let empty = idle && line.len() == mac.held[m].len();
+        self.emptied = empty.then_some(m);
+        if empty {
             self.relieve(line.into_iter().take(3).collect(), f64::MAX, 0.0);
         }
     }
@@ -698,7 +698,7 @@
     /// times as long without; it is near, where that has a price; own others there stay calm too.
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
         let cores = self.mac.speed[m] * self.mac.cores[m];
-        let calm = |f: usize| self.rule(&format!("familyInfo.calmLevel.{f}")) * cores >= ucac;
+        let calm = |f: usize| self.kin(f, "calmLevel") * cores >= ucac;
         let starting = self.own(m).filter(|t| t.ran_at == 0).count() as f64;
         let short = starting.max(self.mac.line[m]) < LINE;
         let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
@@ -715,10 +715,10 @@
     }
 
     fn priority(&self, f: usize) -> f64 {
-        self.rule(&format!("familyInfo.priorityByClass.{f}"))
+        self.kin(f, "priorityByClass")
     }
 
-    /// Own placed tasks on a machine that give way to a framework: of lower priority, free to run again.
+    /// Own placed tasks on a machine that give way to a priority: below it, and free to run again.
     fn movable(&self, m: usize, priority: f64) -> Vec<usize> {
         let below = |t: &Task| self.priority(t.framework) < priority;
         let may =
@@ -791,6 +791,10 @@
         self.rule(&format!("classes.{framework}.{name}"))
     }
 
+    fn kin(&self, framework: usize, name: &str) -> f64 {
+        self.rule(&format!("familyInfo.{name}.{framework}"))
+    }
+
     fn know_machine(&mut self, m: usize) {
         let mac = &mut self.mac;
         while mac.listed.len() <= m {
