--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -269,6 +269,12 @@
     items.iter().map(name).collect()
 }
 
+/// A number for an id that is a word (FNV-1a), the same in every process.
+fn number_of(id: &str) -> u64 {
+    let fold = |n: u64, byte| (n ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    id.bytes().fold(0xcbf2_9ce4_8422_2325, fold)
+}
+
 #[derive(Default)]
 struct Wire {
     now: i64,
@@ -384,6 +390,7 @@
                 let started = e.opt("startedAtUs", Value::as_i64)?.unwrap_or(0);
                 let left = |name| Ok::<f64, String>(e.opt(name, Value::as_f64)?.unwrap_or(0.0));
                 let left = (left("cpuLeft")?, left("memLeft")?);
+                p.machine_number(machine, number_of(&p.host.machines.ids[machine]));
                 p.machine_listed(machine, (kind, zone, cell), readiness, started, left);
             }
             p.list_ends();
@@ -395,7 +402,9 @@
             let asks = (f.number("cpuAsk")?, f.number("memory")?);
             let time_left = f.whole("expiresInUs")?;
             let id = f.text("opId")?;
+            let number = service;
             let service = p.host.services.enter(service);
+            p.service_number(service, number);
             if kind == "wanted" {
                 let task = p.host.enter_task(id, 0);
                 p.wanted(task, framework, tenant, service, asks, time_left);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,12 @@
 const MOST_OUT: usize = 10;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
+/// Planners that may each probe every machine that often; more of them share the probes.
+const PROBERS: f64 = 4.0;
+/// A report older than this says nothing any more.
+const STALE: i64 = 10_000_000;
+/// Machines of a service that all planners agree on, so that its program is kept on few.
+const HOMES: usize = 3;
 
 #[derive(Clone, Copy, Default, PartialEq)]
 enum Phase {
@@ -71,6 +77,22 @@
     }
 }
 
+/// What the settings say of a framework, read once: ranking a large fleet asks for it all the time.
+struct Framework {
+    semantics: String,
+    group: String,
+    spread: String,
+    most: usize,
+    kind: f64,
+    priority: f64,
+    value: f64,
+    goal: f64,
+    limit: f64,
+    window: i64,
+    calm: f64,
+    fade: f64,
+}
+
 #[derive(Default)]
 struct Task {
     stamp: u64,
@@ -103,6 +125,9 @@
     used_cores: Vec<f64>,
     used_memory: Vec<f64>,
     report_at: Vec<i64>,
+    /// The id's number, which is the same at every planner, and what was asked when the report came.
+    number: Vec<u64>,
+    asked_then: Vec<Room>,
     /// Cores and memory that nobody had asked for, as listed.
     view: Vec<Room>,
     view_at: Vec<i64>,
@@ -139,16 +164,46 @@
     /// Used cores of one task of each service, and as a share of the ask of each framework.
     uses: Vec<Use>,
     shares: Vec<Use>,
-    /// Share of the asked memory that tasks use.
-    memory_use: f64,
+    /// Numbers of the services' ids, the same at every planner.
+    service_numbers: Vec<u64>,
+    /// Share of the asked cores and memory that all tasks use.
+    cores_use: Use,
+    memory_use: Use,
+    /// Whether the list tells asked cores and memory.
+    view: bool,
     answer_us: Vec<f64>,
+    frameworks: Vec<Framework>,
+    /// This planner's zone, where running tasks in another has a price.
+    home_zone: Option<usize>,
     mac: Machines,
 }
 
 impl<H: Host> Planner<H> {
     pub fn new(host: H, seed: u64, now: i64, given: Given) -> Self {
-        let goal = |i: usize| number(&given, &format!("classes.{i}.objectiveUs"));
-        let answer_us: Vec<f64> = (0..).map_while(goal).map(|us| us * 0.5).collect();
+        let framework = |i: usize| {
+            let per = |name: &str| number(&given, &format!("classes.{i}.{name}"));
+            let kin = |name: &str| number(&given, &format!("familyInfo.{name}.{i}")).unwrap_or(0.0);
+            let word = |name: &str| text(&given, name).to_owned();
+            Some(Framework {
+                goal: per("objectiveUs")?,
+                semantics: word(&format!("classes.{i}.semantics")),
+                group: word(&format!("classes.{i}.group")),
+                spread: word(&format!("familyInfo.classSpread.{i}")),
+                most: kin("mostTogether") as usize,
+                kind: kin("classKind"),
+                priority: kin("priorityByClass"),
+                value: per("worth").unwrap_or(0.0),
+                limit: per("deadlineUs").unwrap_or(0.0),
+                window: per("windowUs").unwrap_or(0.0) as i64,
+                calm: kin("calmLevel"),
+                fade: kin("fadeSpan"),
+            })
+        };
+        let view = number(&given, "familyInfo.view").unwrap_or(0.0) > 0.0;
+        let priced = number(&given, "tariffs.crossZone").unwrap_or(0.0) > 0.0;
+        let mut zones = (0..).map(|z| text(&given, &format!("localities.{z}"))).take_while(|z| !z.is_empty());
+        let home_zone = zones.position(|z| priced && z == text(&given, "myZone"));
+        let frameworks: Vec<Framework> = (0..).map_while(framework).collect();
         let mut planner = Planner {
             host,
             given,
@@ -163,9 +218,14 @@
             list_due: i64::MAX,
             list_fails: 0,
             uses: Vec::new(),
-            shares: vec![Use::START; answer_us.len()],
-            memory_use: 0.7,
-            answer_us,
+            shares: vec![Use::START; frameworks.len()],
+            service_numbers: Vec::new(),
+            cores_use: Use::START,
+            memory_use: Use::START,
+            view,
+            answer_us: frameworks.iter().map(|f| f.goal * 0.5).collect(),
+            frameworks,
+            home_zone,
             mac: Machines::default(),
         };
         if text(&planner.given, "discovery") == "ask" {
@@ -204,6 +264,17 @@
         }
     }
 
+    /// A machine's or service's id as a number that is the same at every planner.
+    pub fn machine_number(&mut self, m: usize, number: u64) {
+        self.know_machine(m);
+        self.mac.number[m] = number;
+    }
+
+    pub fn service_number(&mut self, s: usize, number: u64) {
+        let known = self.service_numbers.len().max(s + 1);
+        self.service_numbers.resize(known, number);
+    }
+
     pub fn list_ends(&mut self) {
         self.probe_round();
         self.serve_waiting();
@@ -274,28 +345,28 @@
         if waited > 0 && self.over_share(task) {
             waited = 0;
         }
-        let ease = (waited as f64 / (EASE * self.per(f, "objectiveUs")).max(1.0)).min(1.0);
-        let bears = self.kin(f, "calmLevel") + 0.5 * self.kin(f, "fadeSpan") - HEADROOM;
+        let ease = (waited as f64 / (EASE * self.frameworks[f].goal).max(1.0)).min(1.0);
+        let bears = self.frameworks[f].calm + 0.5 * self.frameworks[f].fade - HEADROOM;
         let accepts_cores = self.rule("familyInfo.admitCores");
         let accepts_memory = self.rule("familyInfo.admitMemory");
-        let view = self.rule("familyInfo.view") > 0.0;
         let memory_share = MEMORY_SHARE + ease * (MEMORY_EASED - MEMORY_SHARE);
         let ratio = self.spread_ratio();
         let average = self.average_load(ratio);
+        let home = self.home_bar(s);
         // Fits: machine, UCaC after the bind, how well it suits.
         let mut fits: Vec<(usize, f64, u8)> = Vec::new();
         let mut crowded = Vec::new();
         let mut room = (f64::MAX, 0, 0.0, 0.0, Vec::new());
         let holds = self.list_holds();
         for m in self.ready().filter(|&m| holds && self.may_send(task, m)) {
-            let (c, big_b, later_memory) = self.load(m, ratio, average);
+            let (c, big_b, used_memory) = self.load(m, ratio, average);
             let root = (big_b + b).sqrt();
             let ucac = c + mu + D * root;
             let over_cores = c + mu + (1.0 - ease) * D * root - HEADROOM * self.mac.cores[m];
             // All that a machine has accepted, listed late; where no list tells, own tasks at least.
             let mut asked: f64 = self.own(m).map(|t| t.cores).sum();
             let (mut asked_memory, mut unasked_memory) = (0.0, 0.0);
-            if view {
+            if self.view {
                 let (since_cores, since_memory) = self.asked_since(m, self.mac.view_at[m] - VIEW_LAG);
                 asked = self.mac.cores[m] - self.mac.view[m].0 + since_cores;
                 unasked_memory = self.mac.view[m].1 - since_memory;
@@ -306,17 +377,16 @@
                 continue;
             }
             // Memory must fit what nobody asked for, or else a share of all by use.
-            let used = self.mac.used_memory[m] + later_memory + memory;
-            let over_memory = (used - memory_share * self.mac.memory[m]).min(memory - unasked_memory);
+            let over_memory = (used_memory + memory - memory_share * self.mac.memory[m]).min(memory - unasked_memory);
             if over_cores <= 0.0 && over_memory <= 0.0 {
-                fits.push((m, ucac, self.suits(m, f, s, ucac)));
+                fits.push((m, ucac, self.suits(m, f, s, ucac, home)));
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
                 crowded.push((m, -over_cores, 0));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
                 let line = self.movable(m, self.priority(f));
                 let leaving = || line.iter().map(|&o| &self.tasks[o]);
                 let free: f64 = leaving().map(|t| self.uses[t.service].mean).sum();
-                let free_memory = leaving().map(|t| t.memory).sum::<f64>() * self.memory_use;
+                let free_memory = leaving().map(|t| t.memory).sum::<f64>() * self.memory_use.mean;
                 let loss = (over_cores / self.mac.cores[m]).max(over_memory / self.mac.memory[m]);
                 if free >= over_cores && free_memory >= over_memory && loss < room.0 {
                     room = (loss, m, over_cores, over_memory, line);
@@ -353,7 +423,7 @@
     fn may_send(&self, task: usize, m: usize) -> bool {
         let t = &self.tasks[task];
         let (f, s) = (t.framework, t.service);
-        let kind = self.kin(f, "classKind");
+        let kind = self.frameworks[f].kind;
         let wrong_kind = kind >= 0.0 && kind as usize != self.mac.place[m].0;
         if wrong_kind || !self.group_allows(task, m) {
             return false;
@@ -364,8 +434,8 @@
         if trial || self.now < self.mac.shun_until[m] || t.tried.contains(&m) {
             return false;
         }
-        let most = self.kin(f, "mostTogether") as usize;
-        let place = text(&self.given, &format!("familyInfo.classSpread.{f}"));
+        let most = self.frameworks[f].most;
+        let place = self.frameworks[f].spread.as_str();
         let together = |o: usize| match place {
             "machine" => o == m,
             "cell" => self.mac.place[o].2 == self.mac.place[m].2,
@@ -383,6 +453,9 @@
     /// A cold machine always bears some offers in each window; this planner keeps to its even part of
     /// them, and after its own start counts them as spent for a window, not knowing what it sent before.
     fn cold_budget_allows(&self, m: usize) -> bool {
+        if self.now >= self.mac.cold_until[m] {
+            return true;
+        }
         // A launch may be late by the time that a connection takes.
         let window = self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64;
         let part = (self.rule("familyInfo.coldSends") / self.rule("nInstances").max(1.0)) as usize;
@@ -390,8 +463,7 @@
             .iter()
             .filter(|&&at| at > self.now - window)
             .count();
-        self.now >= self.mac.cold_until[m]
-            || (self.now >= self.born_at + window && sent < part.min(MOST_SENDS))
+        self.now >= self.born_at + window && sent < part.min(MOST_SENDS)
     }
 
     /// Rule 2: where a launch may have run, a further one must be harmless.
@@ -400,7 +472,7 @@
         let Some((first, at)) = t.unsure else { return true };
         let kept = match self.semantics(t.framework) {
             "retryable" => return true,
-            "dedup" => match text(&self.given, &format!("classes.{}.group", t.framework)) {
+            "dedup" => match self.frameworks[t.framework].group.as_str() {
                 "all" => true,
                 "zone" => self.mac.place[first].1 == self.mac.place[m].1,
                 _ => self.mac.place[first].2 == self.mac.place[m].2,
@@ -408,7 +480,7 @@
             _ => false,
         };
         let travel = self.rule("permissions.connectTimeoutUs") as i64;
-        kept && self.now + travel < at + self.per(t.framework, "windowUs") as i64
+        kept && self.now + travel < at + self.frameworks[t.framework].window
     }
 
     /// How long a launch may go without an answer: half of the limit, or all of it where the answer comes
@@ -417,7 +489,7 @@
         let t = &self.tasks[task];
         let at_start = text(&self.given, "familyInfo.yesAt") == "running";
         let share = if at_start { 1.0 } else { 0.5 };
-        (t.limit_at - self.now).min((share * self.per(t.framework, "deadlineUs")) as i64)
+        (t.limit_at - self.now).min((share * self.frameworks[t.framework].limit) as i64)
     }
 
     pub fn accepted(&mut self, task: usize) {
@@ -446,7 +518,7 @@
                 self.uses[s].learn(value, 32.0);
                 self.shares[f].learn(share, 256.0);
             }
-            3 => self.memory_use += 0.01 * (value / t.memory.max(0.001) - self.memory_use),
+            3 => self.memory_use.learn(value / t.memory.max(0.001), 128.0),
             4 => self.served(task, value),
             _ => {}
         }
@@ -458,8 +530,8 @@
     fn served(&mut self, task: usize, value: f64) {
         let t = &self.tasks[task];
         let (f, m, mean, memory) = (t.framework, t.machine, self.uses[t.service].mean, t.memory);
-        let calm = self.kin(f, "calmLevel");
-        let busy = calm + self.kin(f, "fadeSpan") * (1.0 - value);
+        let calm = self.frameworks[f].calm;
+        let busy = calm + self.frameworks[f].fade * (1.0 - value);
         let told = (self.mac.used_cores[m] / (busy * self.mac.cores[m])).clamp(0.3, 1.0);
         self.mac.speed[m] += 0.5 * (if value < 0.95 { told } else { 1.0 } - self.mac.speed[m]);
         let line = self.movable(m, self.priority(f));
@@ -552,7 +624,7 @@
     fn give_up(&mut self, task: usize) {
         self.tasks[task].phase = Phase::Over;
         let f = self.tasks[task].framework;
-        let in_all = text(&self.given, &format!("classes.{f}.group")) == "all";
+        let in_all = self.frameworks[f].group == "all";
         let harmless = self.semantics(f) == "retryable" || (self.semantics(f) == "dedup" && in_all);
         if harmless || self.tasks[task].unsure.is_none() {
             self.host.decline(task, 0);
@@ -564,7 +636,7 @@
     /// Room may have come: those who wait are tried by value, the oldest first.
     fn serve_waiting(&mut self) {
         let mut line = std::mem::take(&mut self.waiting);
-        let value = |o: usize| self.per(self.tasks[o].framework, "worth");
+        let value = |o: usize| self.frameworks[self.tasks[o].framework].value;
         let stamp = |o: usize| self.tasks[o].stamp;
         line.sort_by(|&a, &b| value(b).total_cmp(&value(a)).then(stamp(a).cmp(&stamp(b))));
         let mut least = vec![f64::MAX; self.shares.len()];
@@ -626,7 +698,8 @@
 
     fn probe_round(&mut self) {
         let may = self.rule("permissions.probes") > 0.0;
-        let old = |m: usize| self.now - self.mac.report_at[m].max(self.mac.probed_at[m]) >= PROBE_EVERY;
+        let every = (PROBE_EVERY as f64 * (self.rule("nInstances") / PROBERS).max(1.0)) as i64;
+        let old = |m: usize| self.now - self.mac.report_at[m].max(self.mac.probed_at[m]) >= every;
         let due: Vec<usize> = self.ready().filter(|&m| may && old(m)).collect();
         for m in due {
             self.mac.probed_at[m] = self.now;
@@ -660,11 +733,16 @@
     }
 
     fn read_report(&mut self, m: usize, report: &[f64]) {
+        let asked = self.asked(m);
+        self.mac.asked_then[m] = asked;
         for (i, &value) in report.iter().enumerate() {
             match text(&self.given, &format!("stats.fields.{i}")) {
                 "x0" => {
                     self.mac.used_cores[m] = (self.mac.cores[m] - value).max(0.0);
                     self.mac.report_at[m] = self.now;
+                    if self.view && asked.0 > 0.1 * self.mac.cores[m] {
+                        self.cores_use.learn(self.mac.used_cores[m] / asked.0, 64.0);
+                    }
                 }
                 "waiting" => self.mac.line[m] = value,
                 "x1" => self.mac.used_memory[m] = (self.mac.memory[m] - value).max(0.0),
@@ -673,49 +751,79 @@
         }
     }
 
-    /// C and B of a machine, and the memory asked by own binds that its report can't contain.
-    fn load(&self, m: usize, ratio: f64, average: (f64, f64)) -> (f64, f64, f64) {
+    /// C and B of a machine and the memory in use there: as reported, brought up to date by what the list
+    /// shows as asked since, and own binds that neither can contain. Without a report that is not stale, what
+    /// the list shows as asked times the share in use, or the average where it shows nothing.
+    fn load(&self, m: usize, ratio: f64, average: (f64, f64, f64)) -> (f64, f64, f64) {
+        let mac = &self.mac;
         let (mut known, mut later, mut b, mut later_memory) = (0.0, 0.0, 0.0, 0.0);
-        for t in self.own(m).filter(|t| t.sent_at >= self.mac.started[m]) {
+        let told_at = if self.view { mac.view_at[m].max(mac.report_at[m]) } else { mac.report_at[m] };
+        for t in self.own(m).filter(|t| t.sent_at >= mac.started[m]) {
             b += self.uses[t.service].variance;
-            if t.ran_at > 0 && t.ran_at + REPORT_LAG <= self.mac.report_at[m] {
+            if t.ran_at > 0 && t.ran_at + REPORT_LAG <= told_at {
                 known += self.uses[t.service].mean;
             } else {
                 later += self.uses[t.service].mean;
                 later_memory += t.memory;
             }
         }
-        if self.mac.report_at[m] == 0 {
-            return (average.0 + later, average.1 + b, later_memory);
+        let fresh = mac.report_at[m] > 0 && self.now - mac.report_at[m] < STALE;
+        let (mut used, mut memory) = (mac.used_cores[m], mac.used_memory[m]);
+        if self.view {
+            let (now, then) = (self.asked(m), mac.asked_then[m]);
+            let from = if fresh { (used, memory, then.0, then.1) } else { (0.0, 0.0, 0.0, 0.0) };
+            used = (from.0 + self.cores_use.mean * (now.0 - from.2)).max(0.0);
+            memory = (from.1 + self.memory_use.mean * (now.1 - from.3)).max(0.0);
+        } else if !fresh {
+            return (average.0 + later, average.1 + b, average.2 + later_memory);
         }
-        let used = self.mac.used_cores[m];
-        b += (used - known).max(0.0) * ratio;
-        (used + later, b, later_memory)
+        (used + later, b + (used - known).max(0.0) * ratio, memory + later_memory)
+    }
+
+    /// Cores and memory asked of a machine, as the list shows it.
+    fn asked(&self, m: usize) -> Room {
+        let mac = &self.mac;
+        (mac.cores[m] - mac.view[m].0, mac.memory[m] - mac.view[m].1)
+    }
+
+    /// Every planner draws the same number for a service on a machine.
+    fn draw_of(&self, s: usize, m: usize) -> u64 {
+        let service = self.service_numbers.get(s).copied().unwrap_or(s as u64);
+        let mixed = (service.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ self.mac.number[m])
+            .wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        (mixed ^ mixed >> 31).wrapping_mul(0x94d0_49bb_1331_11eb) ^ mixed >> 29
+    }
+
+    /// The least draw of the service's homes: the listed machines that draw highest for it.
+    fn home_bar(&self, s: usize) -> u64 {
+        let mut draws: Vec<u64> = self.ready().map(|m| self.draw_of(s, m)).collect();
+        draws.sort_unstable_by(|a, b| b.cmp(a));
+        draws.get(HOMES - 1).copied().unwrap_or(0)
     }
 
     /// How well a fitting machine suits: its line of offers and starts is short, as crowds form after mass
     /// losses; its cores stay calm enough for full service; it holds the program, as a start takes several
     /// times as long without; it is near, where that has a price; own others there stay calm too.
-    fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
+    fn suits(&self, m: usize, f: usize, s: usize, ucac: f64, home: u64) -> u8 {
         let cores = self.mac.speed[m] * self.mac.cores[m];
-        let calm = |f: usize| self.kin(f, "calmLevel") * cores >= ucac;
+        let calm = |f: usize| self.frameworks[f].calm * cores >= ucac;
         let starting = self.own(m).filter(|t| t.ran_at == 0).count() as f64;
         let short = starting.max(self.mac.line[m]) < LINE;
         let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
         let program = self.emptied != Some(m) && (self.own(m).any(runs) || self.mac.kept[m].contains(&s));
         let others = self.own(m).all(|t| calm(t.framework));
-        let zone = text(&self.given, &format!("localities.{}", self.mac.place[m].1));
-        let near = self.rule("tariffs.crossZone") == 0.0 || zone == text(&self.given, "myZone");
-        let marks = [short, calm(f), program, near, others];
+        let near = self.home_zone.is_none_or(|zone| zone == self.mac.place[m].1);
+        let home = self.draw_of(s, m) >= home;
+        let marks = [short, calm(f), program, home, near, others];
         marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
     fn semantics(&self, f: usize) -> &str {
-        text(&self.given, &format!("classes.{f}.semantics"))
+        &self.frameworks[f].semantics
     }
 
     fn priority(&self, f: usize) -> f64 {
-        self.kin(f, "priorityByClass")
+        self.frameworks[f].priority
     }
 
     /// Own placed tasks on a machine that give way to a priority: below it, and free to run again.
@@ -736,7 +844,7 @@
                 return;
             }
             cores -= self.uses[self.tasks[o].service].mean;
-            memory -= self.tasks[o].memory * self.memory_use;
+            memory -= self.tasks[o].memory * self.memory_use.mean;
             self.tasks[o].phase = Phase::Over;
             self.host.move_task(o);
         }
@@ -759,13 +867,14 @@
         known().map(|u| u.variance / u.mean).sum::<f64>() / known().count().max(1) as f64
     }
 
-    fn average_load(&self, ratio: f64) -> (f64, f64) {
+    fn average_load(&self, ratio: f64) -> (f64, f64, f64) {
         let mac = &self.mac;
-        let reported = || self.ready().filter(|&m| mac.report_at[m] > 0);
+        let reported = || self.ready().filter(|&m| mac.report_at[m] > 0 && self.now - mac.report_at[m] < STALE);
         let n = reported().count().max(1) as f64;
-        let sum = reported().map(|m| self.load(m, ratio, (0.0, 0.0)));
-        let (c, b) = sum.fold((0.0, 0.0), |acc, x| (acc.0 + x.0, acc.1 + x.1));
-        (c / n, b / n)
+        let sum = reported().map(|m| self.load(m, ratio, (0.0, 0.0, 0.0)));
+        let (c, b, memory) =
+            sum.fold((0.0, 0.0, 0.0), |acc, x| (acc.0 + x.0, acc.1 + x.1, acc.2 + x.2));
+        (c / n, b / n, memory / n)
     }
 
     fn asked_since(&self, m: usize, since: i64) -> (f64, f64) {
@@ -787,14 +896,6 @@
         number(&self.given, name).unwrap_or(0.0)
     }
 
-    fn per(&self, framework: usize, name: &str) -> f64 {
-        self.rule(&format!("classes.{framework}.{name}"))
-    }
-
-    fn kin(&self, framework: usize, name: &str) -> f64 {
-        self.rule(&format!("familyInfo.{name}.{framework}"))
-    }
-
     fn know_machine(&mut self, m: usize) {
         let mac = &mut self.mac;
         while mac.listed.len() <= m {
@@ -803,6 +904,8 @@
             mac.speed.push(1.0);
             mac.place.push((0, 0, 0));
             mac.view.push((0.0, 0.0));
+            mac.asked_then.push((0.0, 0.0));
+            mac.number.push(mac.number.len() as u64);
             mac.held.push(Vec::new());
             mac.kept.push(Vec::new());
             mac.sends.push(Vec::new());
