--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,7 +41,7 @@
 /// A report older than this says nothing any more.
 const STALE: i64 = 10_000_000;
 /// Machines of a service that all planners agree on, so that its program is kept on few.
-const HOMES: usize = 3;
+const HOMES: usize = 2;
 
 #[derive(Clone, Copy, Default, PartialEq)]
 enum Phase {
@@ -517,6 +517,7 @@
                 let share = value / t.cores.max(0.001);
                 self.uses[s].learn(value, 32.0);
                 self.shares[f].learn(share, 256.0);
+                self.cores_use.learn(share, 64.0);
             }
             3 => self.memory_use.learn(value / t.memory.max(0.001), 128.0),
             4 => self.served(task, value),
