--- a/src/logic.rs
+++ b/src/logic.rs
@@ -352,7 +352,6 @@
         let memory_share = MEMORY_SHARE + ease * (MEMORY_EASED - MEMORY_SHARE);
         let ratio = self.spread_ratio();
         let average = self.average_load(ratio);
-        let home = self.home_bar(s);
         // Fits: machine, UCaC after the bind, how well it suits.
         let mut fits: Vec<(usize, f64, u8)> = Vec::new();
         let mut crowded = Vec::new();
@@ -379,7 +378,7 @@
             // Memory must fit what nobody asked for, or else a share of all by use.
             let over_memory = (used_memory + memory - memory_share * self.mac.memory[m]).min(memory - unasked_memory);
             if over_cores <= 0.0 && over_memory <= 0.0 {
-                fits.push((m, ucac, self.suits(m, f, s, ucac, home)));
+                fits.push((m, ucac, self.suits(m, f, s, ucac)));
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
                 crowded.push((m, -over_cores, 0));
             } else if self.priority(f) > 0.0 && fits.is_empty() {
@@ -394,7 +393,11 @@
             }
         }
         let mut fits = if fits.is_empty() { crowded } else { fits };
-        // Of the fitting machines those that suit best, of these the fullest.
+        // Of the fitting machines those that suit best; of these the service's homes, then the fullest.
+        let first = fits.iter().map(|x| x.2 >> 3).max().unwrap_or(0);
+        fits.retain(|x| x.2 >> 3 == first);
+        fits.sort_by_cached_key(|x| std::cmp::Reverse(self.draw_of(s, x.0)));
+        fits.truncate(HOMES);
         let best = fits.iter().map(|x| x.2).max().unwrap_or(0);
         fits.retain(|x| x.2 == best);
         let fullest = fits.iter().map(|x| x.1).fold(f64::MIN, f64::max);
@@ -795,17 +798,10 @@
         (mixed ^ mixed >> 31).wrapping_mul(0x94d0_49bb_1331_11eb) ^ mixed >> 29
     }
 
-    /// The least draw of the service's homes: the listed machines that draw highest for it.
-    fn home_bar(&self, s: usize) -> u64 {
-        let mut draws: Vec<u64> = self.ready().map(|m| self.draw_of(s, m)).collect();
-        draws.sort_unstable_by(|a, b| b.cmp(a));
-        draws.get(HOMES - 1).copied().unwrap_or(0)
-    }
-
     /// How well a fitting machine suits: its line of offers and starts is short, as crowds form after mass
     /// losses; its cores stay calm enough for full service; it holds the program, as a start takes several
     /// times as long without; it is near, where that has a price; own others there stay calm too.
-    fn suits(&self, m: usize, f: usize, s: usize, ucac: f64, home: u64) -> u8 {
+    fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
         let cores = self.mac.speed[m] * self.mac.cores[m];
         let calm = |f: usize| self.frameworks[f].calm * cores >= ucac;
         let starting = self.own(m).filter(|t| t.ran_at == 0).count() as f64;
@@ -814,8 +810,7 @@
         let program = self.emptied != Some(m) && (self.own(m).any(runs) || self.mac.kept[m].contains(&s));
         let others = self.own(m).all(|t| calm(t.framework));
         let near = self.home_zone.is_none_or(|zone| zone == self.mac.place[m].1);
-        let home = self.draw_of(s, m) >= home;
-        let marks = [short, calm(f), program, home, near, others];
+        let marks = [short, calm(f), program, false, near, others];
         marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
