--- a/src/logic.rs
+++ b/src/logic.rs
@@ -40,6 +40,9 @@
 const PROBERS: f64 = 4.0;
 /// A report older than this says nothing any more.
 const STALE: i64 = 10_000_000;
+/// Homes that are asked before a task is placed, unless their report is younger than this.
+const ASKED: usize = 4;
+const FRESH: i64 = 1_000_000;
 /// Machines of a service that all planners agree on, so that its program is kept on few.
 const HOMES: usize = 2;
 
@@ -152,6 +155,8 @@
     /// The clock as the last call of `clock` told it, and when this planner was started.
     now: i64,
     born_at: i64,
+    /// Probes without an answer.
+    asked: usize,
     /// The machine that is being emptied.
     emptied: Option<usize>,
     stamp: u64,
@@ -210,6 +215,7 @@
             chance: fastrand::Rng::with_seed(seed),
             now,
             born_at: now,
+            asked: 0,
             emptied: None,
             stamp: 0,
             tasks: Vec::new(),
@@ -301,11 +307,25 @@
         self.enter(task, f, tenant, s, asks);
         let t = &mut self.tasks[task];
         (t.phase, t.born_at, t.limit_at) = (Phase::Waiting, self.now, self.now + left);
-        if !self.place(task) {
+        if self.asks_first(s) || !self.place(task) {
             self.wait(task);
         }
     }
 
+    /// Where neither list nor reports tell how full the service's homes are, they are asked first. A crowd of
+    /// planners can't keep up with a fleet, but an answer takes little of a latency goal.
+    fn asks_first(&mut self, s: usize) -> bool {
+        if self.view || self.rule("permissions.probes") == 0.0 || self.probe_every() < STALE {
+            return false;
+        }
+        let mut homes: Vec<usize> = self.ready().filter(|&m| self.now >= self.mac.shun_until[m]).collect();
+        homes.sort_by_cached_key(|&m| std::cmp::Reverse(self.draw_of(s, m)));
+        homes.truncate(ASKED);
+        homes.retain(|&m| self.now - self.mac.report_at[m].max(self.mac.probed_at[m]) >= FRESH);
+        homes.iter().for_each(|&m| self.probe(m));
+        self.asked > 0
+    }
+
     pub fn found(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, asks: Room, m: usize) {
         self.know_machine(m);
         self.enter(task, f, tenant, s, asks);
@@ -702,15 +722,28 @@
 
     fn probe_round(&mut self) {
         let may = self.rule("permissions.probes") > 0.0;
-        let every = (PROBE_EVERY as f64 * (self.rule("nInstances") / PROBERS).max(1.0)) as i64;
+        let every = self.probe_every();
+        if every >= STALE {
+            return;
+        }
         let old = |m: usize| self.now - self.mac.report_at[m].max(self.mac.probed_at[m]) >= every;
         let due: Vec<usize> = self.ready().filter(|&m| may && old(m)).collect();
         for m in due {
-            self.mac.probed_at[m] = self.now;
-            self.host.probe(m);
+            self.probe(m);
         }
     }
 
+    fn probe(&mut self, m: usize) {
+        self.mac.probed_at[m] = self.now;
+        self.asked += 1;
+        self.host.probe(m);
+    }
+
+    /// Planners share the probes that a machine bears.
+    fn probe_every(&self) -> i64 {
+        (PROBE_EVERY as f64 * (self.rule("nInstances") / PROBERS).max(1.0)) as i64
+    }
+
     pub fn probed(&mut self, m: usize, outcome: Outcome, report: &[f64]) {
         self.know_machine(m);
         if outcome == Outcome::Ended {
@@ -719,6 +752,10 @@
         } else if outcome != Outcome::Full {
             self.fails(m, 0.3, true);
         }
+        self.asked = self.asked.saturating_sub(1);
+        if self.asked == 0 {
+            self.serve_waiting();
+        }
     }
 
     /// A machine that was silent answers: it may have restarted before the list says so.
