Planners take turns at a cold machine where they are more than the offers it bears

Before, the even part rounded down to none for up to 18 s after each restart. Covers rolling deploys, preempted and restarted machines alike; costs capacity where no task falls into a planner's turn.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -475,17 +475,24 @@
 
     /// A cold machine always bears some offers in each window; this planner keeps to its even part of
     /// them, and after its own start counts them as spent for a window, not knowing what it sent before.
+    /// Where there are more planners than offers they take turns by the clock, in slots as long as a window
+    /// with all that may be under way, half of the offers a slot, as a window may lie across two.
     fn cold_budget_allows(&self, m: usize) -> bool {
         if self.now >= self.mac.cold_until[m] {
             return true;
         }
         // A launch may be late by the time that a connection takes.
         let window = self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64;
-        let part = (self.rule("familyInfo.coldSends") / self.rule("nInstances").max(1.0)) as usize;
-        let sent = self.mac.sends[m]
-            .iter()
-            .filter(|&&at| at > self.now - window)
-            .count();
+        let (bears, planners) = (self.rule("familyInfo.coldSends"), self.rule("nInstances").max(1.0));
+        let (mut part, mut since) = ((bears / planners) as usize, self.now - window);
+        if part == 0 {
+            let (slot, turns) = ((self.now / window) as u64, (bears / 2.0) as u64);
+            let first = (self.mac.number[m] % planners as u64 + slot * turns) % planners as u64;
+            let after = (self.rule("myNumber") + planners) as u64 - first;
+            part = usize::from(after % (planners as u64) < turns);
+            since = slot as i64 * window - 1;
+        }
+        let sent = self.mac.sends[m].iter().filter(|&&at| at > since).count();
         self.now >= self.born_at + window && sent < part.min(MOST_SENDS)
     }
 
