--- a/src/logic.rs
+++ b/src/logic.rs
@@ -371,7 +371,7 @@
         let accepts_memory = self.rule("familyInfo.admitMemory");
         let memory_share = MEMORY_SHARE + ease * (MEMORY_EASED - MEMORY_SHARE);
         let ratio = self.spread_ratio();
-        let average = self.average_load(ratio);
+        let average = if self.view { (0.0, 0.0, 0.0) } else { self.average_load(ratio) };
         // Fits: machine, UCaC after the bind, how well it suits.
         let mut fits: Vec<(usize, f64, u8)> = Vec::new();
         let mut crowded = Vec::new();
@@ -457,20 +457,18 @@
         if trial || self.now < self.mac.shun_until[m] || t.tried.contains(&m) {
             return false;
         }
-        let most = self.frameworks[f].most;
-        let place = self.frameworks[f].spread.as_str();
-        let together = |o: usize| match place {
-            "machine" => o == m,
-            "cell" => self.mac.place[o].2 == self.mac.place[m].2,
-            "zone" => self.mac.place[o].1 == self.mac.place[m].1,
-            _ => false,
+        let (cell, zone) = (self.mac.place[m].2, self.mac.place[m].1);
+        let here = |o: usize| self.own(o).filter(|t| t.service == s).count();
+        let all_here = |near: &dyn Fn(&Place) -> bool| -> usize {
+            (0..self.mac.listed.len()).filter(|&o| near(&self.mac.place[o])).map(here).sum()
+        };
+        let together = match self.frameworks[f].spread.as_str() {
+            "machine" => here(m),
+            "cell" => all_here(&|at| at.2 == cell),
+            "zone" => all_here(&|at| at.1 == zone),
+            _ => return self.cold_budget_allows(m),
         };
-        let places = (0..self.mac.listed.len()).filter(|&o| together(o));
-        let here = places
-            .flat_map(|o| self.own(o))
-            .filter(|t| t.service == s)
-            .count();
-        (matches!(place, "" | "none") || here < most) && self.cold_budget_allows(m)
+        together < self.frameworks[f].most && self.cold_budget_allows(m)
     }
 
     /// A cold machine always bears some offers in each window; this planner keeps to its even part of
