--- a/src/logic.rs
+++ b/src/logic.rs
@@ -157,8 +157,6 @@
     born_at: i64,
     /// Probes without an answer.
     asked: usize,
-    /// The machine that is being emptied.
-    emptied: Option<usize>,
     stamp: u64,
     tasks: Vec<Task>,
     waiting: Vec<usize>,
@@ -206,7 +204,9 @@
         };
         let view = number(&given, "familyInfo.view").unwrap_or(0.0) > 0.0;
         let priced = number(&given, "tariffs.crossZone").unwrap_or(0.0) > 0.0;
-        let mut zones = (0..).map(|z| text(&given, &format!("localities.{z}"))).take_while(|z| !z.is_empty());
+        let mut zones = (0..)
+            .map(|z| text(&given, &format!("localities.{z}")))
+            .take_while(|z| !z.is_empty());
         let home_zone = zones.position(|z| priced && z == text(&given, "myZone"));
         let frameworks: Vec<Framework> = (0..).map_while(framework).collect();
         let mut planner = Planner {
@@ -216,7 +216,6 @@
             now,
             born_at: now,
             asked: 0,
-            emptied: None,
             stamp: 0,
             tasks: Vec::new(),
             waiting: Vec::new(),
@@ -318,7 +317,10 @@
         if self.view || self.rule("permissions.probes") == 0.0 || self.probe_every() < STALE {
             return false;
         }
-        let mut homes: Vec<usize> = self.ready().filter(|&m| self.now >= self.mac.shun_until[m]).collect();
+        let mut homes: Vec<usize> = self
+            .ready()
+            .filter(|&m| self.now >= self.mac.shun_until[m])
+            .collect();
         homes.sort_by_cached_key(|&m| std::cmp::Reverse(self.draw_of(s, m)));
         homes.truncate(ASKED);
         homes.retain(|&m| self.now - self.mac.report_at[m].max(self.mac.probed_at[m]) >= FRESH);
@@ -371,7 +373,11 @@
         let accepts_memory = self.rule("familyInfo.admitMemory");
         let memory_share = MEMORY_SHARE + ease * (MEMORY_EASED - MEMORY_SHARE);
         let ratio = self.spread_ratio();
-        let average = if self.view { (0.0, 0.0, 0.0) } else { self.average_load(ratio) };
+        let average = if self.view {
+            (0.0, 0.0, 0.0)
+        } else {
+            self.average_load(ratio)
+        };
         // Fits: machine, UCaC after the bind, how well it suits.
         let mut fits: Vec<(usize, f64, u8)> = Vec::new();
         let mut crowded = Vec::new();
@@ -396,7 +402,8 @@
                 continue;
             }
             // Memory must fit what nobody asked for, or else a share of all by use.
-            let over_memory = (used_memory + memory - memory_share * self.mac.memory[m]).min(memory - unasked_memory);
+            let over_memory =
+                (used_memory + memory - memory_share * self.mac.memory[m]).min(memory - unasked_memory);
             if over_cores <= 0.0 && over_memory <= 0.0 {
                 fits.push((m, ucac, self.suits(m, f, s, ucac)));
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
@@ -414,8 +421,8 @@
         }
         let mut fits = if fits.is_empty() { crowded } else { fits };
         // Of the fitting machines those that suit best; of these the service's homes, then the fullest.
-        let first = fits.iter().map(|x| x.2 >> 3).max().unwrap_or(0);
-        fits.retain(|x| x.2 >> 3 == first);
+        let first = fits.iter().map(|x| x.2 >> 2).max().unwrap_or(0);
+        fits.retain(|x| x.2 >> 2 == first);
         fits.sort_by_cached_key(|x| std::cmp::Reverse(self.draw_of(s, x.0)));
         fits.truncate(HOMES);
         let best = fits.iter().map(|x| x.2).max().unwrap_or(0);
@@ -460,7 +467,10 @@
         let (cell, zone) = (self.mac.place[m].2, self.mac.place[m].1);
         let here = |o: usize| self.own(o).filter(|t| t.service == s).count();
         let all_here = |near: &dyn Fn(&Place) -> bool| -> usize {
-            (0..self.mac.listed.len()).filter(|&o| near(&self.mac.place[o])).map(here).sum()
+            (0..self.mac.listed.len())
+                .filter(|&o| near(&self.mac.place[o]))
+                .map(here)
+                .sum()
         };
         let together = match self.frameworks[f].spread.as_str() {
             "machine" => here(m),
@@ -481,7 +491,10 @@
         }
         // A launch may be late by the time that a connection takes.
         let window = self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64;
-        let (bears, planners) = (self.rule("familyInfo.coldSends"), self.rule("nInstances").max(1.0));
+        let (bears, planners) = (
+            self.rule("familyInfo.coldSends"),
+            self.rule("nInstances").max(1.0),
+        );
         let (mut part, mut since) = ((bears / planners) as usize, self.now - window);
         if part == 0 {
             let (slot, turns) = ((self.now / window) as u64, (bears / 2.0) as u64);
@@ -695,30 +708,6 @@
         }
         self.probe_round();
         self.serve_waiting();
-        self.empty_one();
-    }
-
-    /// Where machines in use have a price, the least used one is emptied, a few own tasks a second, while
-    /// the others have many times its use left: best fit alone never ends what small tasks keep alive.
-    fn empty_one(&mut self) {
-        if self.rule("tariffs.fleet") <= 0.0 || self.now % 1_000_000 >= TICK {
-            return;
-        }
-        let mac = &self.mac;
-        let used = |m: usize| mac.used_cores[m] / mac.cores[m];
-        let in_use = || self.ready().filter(|&m| used(m) > 0.02);
-        let Some(m) = in_use().min_by(|&a, &b| used(a).total_cmp(&used(b))) else {
-            return;
-        };
-        let spare = |o: usize| (0.7 * mac.cores[o] - mac.used_cores[o]).max(0.0);
-        let left: f64 = in_use().map(spare).sum();
-        let idle = used(m) < 0.25 && left > 5.0 * mac.used_cores[m] && self.waiting.is_empty();
-        let line = self.movable(m, f64::MAX);
-        let empty = idle && line.len() == mac.held[m].len();
-        self.emptied = empty.then_some(m);
-        if empty {
-            self.relieve(line.into_iter().take(3).collect(), f64::MAX, 0.0);
-        }
     }
 
     fn token(&self, task: usize) -> u64 {
@@ -803,7 +792,11 @@
     fn load(&self, m: usize, ratio: f64, average: (f64, f64, f64)) -> (f64, f64, f64) {
         let mac = &self.mac;
         let (mut known, mut later, mut b, mut later_memory) = (0.0, 0.0, 0.0, 0.0);
-        let told_at = if self.view { mac.view_at[m].max(mac.report_at[m]) } else { mac.report_at[m] };
+        let told_at = if self.view {
+            mac.view_at[m].max(mac.report_at[m])
+        } else {
+            mac.report_at[m]
+        };
         for t in self.own(m).filter(|t| t.sent_at >= mac.started[m]) {
             b += self.uses[t.service].variance;
             if t.ran_at > 0 && t.ran_at + REPORT_LAG <= told_at {
@@ -817,13 +810,21 @@
         let (mut used, mut memory) = (mac.used_cores[m], mac.used_memory[m]);
         if self.view {
             let (now, then) = (self.asked(m), mac.asked_then[m]);
-            let from = if fresh { (used, memory, then.0, then.1) } else { (0.0, 0.0, 0.0, 0.0) };
+            let from = if fresh {
+                (used, memory, then.0, then.1)
+            } else {
+                (0.0, 0.0, 0.0, 0.0)
+            };
             used = (from.0 + self.cores_use.mean * (now.0 - from.2)).max(0.0);
             memory = (from.1 + self.memory_use.mean * (now.1 - from.3)).max(0.0);
         } else if !fresh {
             return (average.0 + later, average.1 + b, average.2 + later_memory);
         }
-        (used + later, b + (used - known).max(0.0) * ratio, memory + later_memory)
+        (
+            used + later,
+            b + (used - known).max(0.0) * ratio,
+            memory + later_memory,
+        )
     }
 
     /// Cores and memory asked of a machine, as the list shows it.
@@ -849,10 +850,10 @@
         let starting = self.own(m).filter(|t| t.ran_at == 0).count() as f64;
         let short = starting.max(self.mac.line[m]) < LINE;
         let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
-        let program = self.emptied != Some(m) && (self.own(m).any(runs) || self.mac.kept[m].contains(&s));
+        let program = self.own(m).any(runs) || self.mac.kept[m].contains(&s);
         let others = self.own(m).all(|t| calm(t.framework));
         let near = self.home_zone.is_none_or(|zone| zone == self.mac.place[m].1);
-        let marks = [short, calm(f), program, false, near, others];
+        let marks = [short, program, near, calm(f), others];
         marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
@@ -907,11 +908,13 @@
 
     fn average_load(&self, ratio: f64) -> (f64, f64, f64) {
         let mac = &self.mac;
-        let reported = || self.ready().filter(|&m| mac.report_at[m] > 0 && self.now - mac.report_at[m] < STALE);
+        let reported = || {
+            self.ready()
+                .filter(|&m| mac.report_at[m] > 0 && self.now - mac.report_at[m] < STALE)
+        };
         let n = reported().count().max(1) as f64;
         let sum = reported().map(|m| self.load(m, ratio, (0.0, 0.0, 0.0)));
-        let (c, b, memory) =
-            sum.fold((0.0, 0.0, 0.0), |acc, x| (acc.0 + x.0, acc.1 + x.1, acc.2 + x.2));
+        let (c, b, memory) = sum.fold((0.0, 0.0, 0.0), |acc, x| (acc.0 + x.0, acc.1 + x.1, acc.2 + x.2));
         (c / n, b / n, memory / n)
     }
 
