--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,9 +1,7 @@
 //! Every decision of basaltpitch. One `Planner` is one scheduler; it shares nothing with another.
-//!
 //! A caller (today `benchlink`, later the placing service) makes it with the settings, a seed and a
 //! `Host`, then calls one method for each thing that happens: list, task, launch, note, probe, timer.
-//! The planner acts by calling the host at once. The interface is in `host.rs`; `docs/design.md` says
-//! what is kept of the paper's design and when each exception acts.
+//! The planner acts by calling the host at once. The interface is in `host.rs`, the why in `docs/design.md`.
 #![allow(clippy::too_many_arguments)]
 use crate::host::{number, text, Given, Host, Outcome, Place, Readiness, Room};
 
@@ -12,37 +10,31 @@
 /// Share of a machine's cores that the mean plus margin may fill, and of its memory (see docs/design.md).
 const HEADROOM: f64 = 1.0;
 const MEMORY_SHARE: f64 = 0.95;
-/// Machines whose UCaC is within this many cores of the best are drawn from at random (DESIGN's default).
-const TIE: f64 = 0.5;
-/// A report is taken to contain a task that had run this long when it came; reports are late and rare.
-const REPORT_LAG: i64 = 1_500_000;
-/// Likewise the view of the list: what was sent this long before an entry came may not be in it.
-const VIEW_LAG: i64 = 1_500_000;
-/// Programs taken to be kept by a machine after their last task.
-const KEPT: usize = 6;
+/// Machines whose UCaC is within this many cores of the best are drawn from at random.
+const TIE: f64 = 0.1;
+/// A report or an entry of the list is taken to contain a task that had run this long when it came.
+const LAG: i64 = 1_500_000;
 /// Own tasks yet to start that a machine may have before others go first.
 const LINE: f64 = 6.0;
 /// Share of the latency goal over which a waiting task's margin melts.
 const EASE: f64 = 0.3;
-/// A tenant is judged to be beyond its share from this multiple of it on: a planner sees but a part.
-const FAR: f64 = 1.4;
 /// Served below this share, a task of higher priority is better off moved.
 const POOR: f64 = 0.5;
 /// Launches to a machine that are remembered for its cold budget.
 const MOST_SENDS: usize = 256;
 /// The memory share for a task whose margin has melted: asks count in full but are not used in full.
 const MEMORY_EASED: f64 = 1.1;
-/// Launches without an answer that a machine may have from this planner: its line is short.
-const MOST_OUT: usize = 10;
+/// How long a failure of any kind bars a machine.
+const BARRED: i64 = 3_000_000;
 const TICK: i64 = 100_000;
 const PROBE_EVERY: i64 = 1_000_000;
 /// Planners that may each probe every machine that often; more of them share the probes.
 const PROBERS: f64 = 4.0;
 /// A report older than this says nothing any more.
 const STALE: i64 = 10_000_000;
-/// Homes that are asked before a task is placed, unless their report is younger than this.
+/// Homes that are asked before a task is placed, unless their report is younger than FRESH.
 const ASKED: usize = 4;
-const FRESH: i64 = 1_000_000;
+const FRESH: i64 = 2_500_000;
 /// Machines of a service that all planners agree on, so that its program is kept on few.
 const HOMES: usize = 2;
 
@@ -64,11 +56,7 @@
 }
 
 impl Use {
-    const START: Use = Use {
-        mean: 1.0,
-        variance: 0.25,
-        notes: 0.0,
-    };
+    const START: Use = Use { mean: 1.0, variance: 0.25, notes: 0.0 };
 
     /// The start counts as one note; each moves mean and variance by at least one part in `memory`.
     fn learn(&mut self, value: f64, memory: f64) {
@@ -83,15 +71,12 @@
 /// What the settings say of a framework, read once: ranking a large fleet asks for it all the time.
 struct Framework {
     semantics: String,
-    group: String,
     spread: String,
     most: usize,
     kind: f64,
     priority: f64,
     value: f64,
     goal: f64,
-    limit: f64,
-    window: i64,
     calm: f64,
     fade: f64,
 }
@@ -101,7 +86,6 @@
     stamp: u64,
     phase: Phase,
     framework: usize,
-    tenant: Option<usize>,
     service: usize,
     cores: f64,
     memory: f64,
@@ -135,16 +119,9 @@
     view: Vec<Room>,
     view_at: Vec<i64>,
     held: Vec<Vec<usize>>,
-    kept: Vec<Vec<usize>>,
     sends: Vec<Vec<i64>>,
     cold_until: Vec<i64>,
-    ailing: Vec<f64>,
     shun_until: Vec<i64>,
-    silent: Vec<bool>,
-    /// What the machine's cores are worth, judged by how its tasks are served.
-    speed: Vec<f64>,
-    /// Offers and starts in line, where reports tell.
-    line: Vec<f64>,
     probed_at: Vec<i64>,
 }
 
@@ -164,15 +141,14 @@
     heard_at: i64,
     list_due: i64,
     list_fails: u32,
-    /// Used cores of one task of each service, and as a share of the ask of each framework.
+    /// Used cores of one task of each service.
     uses: Vec<Use>,
-    shares: Vec<Use>,
-    /// Numbers of the services' ids, the same at every planner.
     service_numbers: Vec<u64>,
     /// Share of the asked cores and memory that all tasks use.
     cores_use: Use,
     memory_use: Use,
-    /// Whether the list tells asked cores and memory.
+    /// Share of a machine's cores and memory in use, over the reports; whether the list tells what is asked.
+    average: (Use, Use),
     view: bool,
     answer_us: Vec<f64>,
     frameworks: Vec<Framework>,
@@ -186,27 +162,21 @@
         let framework = |i: usize| {
             let per = |name: &str| number(&given, &format!("classes.{i}.{name}"));
             let kin = |name: &str| number(&given, &format!("familyInfo.{name}.{i}")).unwrap_or(0.0);
-            let word = |name: &str| text(&given, name).to_owned();
             Some(Framework {
                 goal: per("objectiveUs")?,
-                semantics: word(&format!("classes.{i}.semantics")),
-                group: word(&format!("classes.{i}.group")),
-                spread: word(&format!("familyInfo.classSpread.{i}")),
+                semantics: text(&given, &format!("classes.{i}.semantics")).to_owned(),
+                spread: text(&given, &format!("familyInfo.classSpread.{i}")).to_owned(),
                 most: kin("mostTogether") as usize,
                 kind: kin("classKind"),
                 priority: kin("priorityByClass"),
                 value: per("worth").unwrap_or(0.0),
-                limit: per("deadlineUs").unwrap_or(0.0),
-                window: per("windowUs").unwrap_or(0.0) as i64,
                 calm: kin("calmLevel"),
                 fade: kin("fadeSpan"),
             })
         };
         let view = number(&given, "familyInfo.view").unwrap_or(0.0) > 0.0;
         let priced = number(&given, "tariffs.crossZone").unwrap_or(0.0) > 0.0;
-        let mut zones = (0..)
-            .map(|z| text(&given, &format!("localities.{z}")))
-            .take_while(|z| !z.is_empty());
+        let mut zones = (0..).map(|z| text(&given, &format!("localities.{z}"))).take_while(|z| !z.is_empty());
         let home_zone = zones.position(|z| priced && z == text(&given, "myZone"));
         let frameworks: Vec<Framework> = (0..).map_while(framework).collect();
         let mut planner = Planner {
@@ -223,10 +193,10 @@
             list_due: i64::MAX,
             list_fails: 0,
             uses: Vec::new(),
-            shares: vec![Use::START; frameworks.len()],
             service_numbers: Vec::new(),
             cores_use: Use::START,
             memory_use: Use::START,
+            average: (Use::START, Use::START),
             view,
             answer_us: frameworks.iter().map(|f| f.goal * 0.5).collect(),
             frameworks,
@@ -234,7 +204,8 @@
             mac: Machines::default(),
         };
         if text(&planner.given, "discovery") == "ask" {
-            planner.ask_for_list();
+            planner.host.watch(true);
+            planner.list_due = now + 5_000_000;
         }
         planner.host.timer(TICK, 0);
         planner
@@ -257,14 +228,10 @@
         self.mac.listed[m] = ready == Readiness::Ready;
         self.mac.cores[m] = self.rule(&format!("familyInfo.cpuOfKind.{}", at.0));
         self.mac.memory[m] = self.rule(&format!("familyInfo.sizeMemory.{}", at.0));
-        (self.mac.place[m], self.mac.view[m]) = (at, left);
-        self.mac.view_at[m] = self.now;
+        (self.mac.place[m], self.mac.view[m], self.mac.view_at[m]) = (at, left, self.now);
         if started > self.mac.started[m] {
             // A newer start: a cold machine with empty hands.
-            self.mac.started[m] = started;
-            self.mac.report_at[m] = 0;
-            self.mac.kept[m].clear();
-            (self.mac.ailing[m], self.mac.shun_until[m], self.mac.silent[m]) = (0.0, 0, false);
+            (self.mac.started[m], self.mac.report_at[m], self.mac.shun_until[m]) = (started, 0, 0);
             self.mac.cold_until[m] = self.mac.cold_until[m].max(started + self.rule("rules.coldUs") as i64);
         }
     }
@@ -292,18 +259,13 @@
         self.list_due = self.now + self.chance.i64(wait / 2..wait);
     }
 
-    fn ask_for_list(&mut self) {
-        self.host.watch(true);
-        self.list_due = self.now + 5_000_000;
-    }
-
     /// Whether the list can be relied on for drains: a planner that has not asked for long counts as told.
     fn list_holds(&self) -> bool {
         self.list_due == i64::MAX || self.now < self.heard_at + self.rule("rules.askEveryUs") as i64
     }
 
-    pub fn wanted(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, asks: Room, left: i64) {
-        self.enter(task, f, tenant, s, asks);
+    pub fn wanted(&mut self, task: usize, f: usize, _tenant: Option<usize>, s: usize, asks: Room, left: i64) {
+        self.enter(task, f, s, asks);
         let t = &mut self.tasks[task];
         (t.phase, t.born_at, t.limit_at) = (Phase::Waiting, self.now, self.now + left);
         if self.asks_first(s) || !self.place(task) {
@@ -311,16 +273,12 @@
         }
     }
 
-    /// Where neither list nor reports tell how full the service's homes are, they are asked first. A crowd of
-    /// planners can't keep up with a fleet, but an answer takes little of a latency goal.
+    /// Many planners can't keep up with a fleet, so they ask a service's homes when a task comes.
     fn asks_first(&mut self, s: usize) -> bool {
-        if self.view || self.rule("permissions.probes") == 0.0 || self.probe_every() < STALE {
+        if self.rule("permissions.probes") == 0.0 || self.probe_every() < STALE {
             return false;
         }
-        let mut homes: Vec<usize> = self
-            .ready()
-            .filter(|&m| self.now >= self.mac.shun_until[m])
-            .collect();
+        let mut homes: Vec<usize> = self.ready().filter(|&m| self.now >= self.mac.shun_until[m]).collect();
         homes.sort_by_cached_key(|&m| std::cmp::Reverse(self.draw_of(s, m)));
         homes.truncate(ASKED);
         homes.retain(|&m| self.now - self.mac.report_at[m].max(self.mac.probed_at[m]) >= FRESH);
@@ -328,32 +286,30 @@
         self.asked > 0
     }
 
-    pub fn found(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, asks: Room, m: usize) {
+    pub fn found(&mut self, task: usize, f: usize, _tenant: Option<usize>, s: usize, asks: Room, m: usize) {
         self.know_machine(m);
-        self.enter(task, f, tenant, s, asks);
+        self.enter(task, f, s, asks);
         let t = &mut self.tasks[task];
         (t.phase, t.machine, t.launches) = (Phase::Placed, m, 1);
         // It runs already, so that reports contain it; it counts as launch 0.
-        (t.sent_at, t.ran_at) = (self.now, self.now - REPORT_LAG);
+        (t.sent_at, t.ran_at) = (self.now, self.now - LAG);
         self.mac.held[m].push(task);
     }
 
-    fn enter(&mut self, task: usize, f: usize, tenant: Option<usize>, s: usize, asks: Room) {
+    fn enter(&mut self, task: usize, f: usize, s: usize, asks: Room) {
         let known = self.uses.len().max(s + 1);
         self.uses.resize(known, Use::START);
         if self.uses[s].notes == 0.0 {
-            // The ask and a quarter of its square, until notes of the framework tell better.
-            let share = &self.shares[f];
-            (self.uses[s].mean, self.uses[s].variance) =
-                (asks.0 * share.mean, asks.0 * asks.0 * share.variance);
+            // The ask and a quarter of its square, until notes of other tasks tell better.
+            let share = &self.cores_use;
+            self.uses[s].mean = asks.0 * share.mean;
+            self.uses[s].variance = asks.0 * asks.0 * share.variance;
         }
         let slots = self.tasks.len().max(task + 1);
         self.tasks.resize_with(slots, Task::default);
         self.stamp += 1;
-        let t = &mut self.tasks[task];
-        *t = Task::default();
-        (t.stamp, t.framework, t.tenant, t.service) = (self.stamp, f, tenant, s);
-        (t.cores, t.memory) = asks;
+        let (stamp, (cores, memory)) = (self.stamp, asks);
+        self.tasks[task] = Task { stamp, framework: f, service: s, cores, memory, ..Task::default() };
     }
 
     /// The ordinary path: filter, mean plus margin, the fullest fitting machine, launch. False: it waits.
@@ -361,55 +317,46 @@
         let t = &self.tasks[task];
         let (f, s, cores, memory) = (t.framework, t.service, t.cores, t.memory);
         let (mu, b) = (self.uses[s].mean, self.uses[s].variance);
-        // Waiting costs more than a thin margin: it melts away early in the latency goal, but for work
-        // beyond its tenant's share. Then a task that crowding only slows goes to the least crowded machine.
-        let mut waited = self.now - t.born_at;
-        if waited > 0 && self.over_share(task) {
-            waited = 0;
-        }
+        // Waiting costs more than a thin margin: it melts away early in the latency goal. Then a task that
+        // crowding only slows goes to the least crowded machine.
+        let waited = self.now - t.born_at;
         let ease = (waited as f64 / (EASE * self.frameworks[f].goal).max(1.0)).min(1.0);
         let bears = self.frameworks[f].calm + 0.5 * self.frameworks[f].fade - HEADROOM;
         let accepts_cores = self.rule("familyInfo.admitCores");
         let accepts_memory = self.rule("familyInfo.admitMemory");
         let memory_share = MEMORY_SHARE + ease * (MEMORY_EASED - MEMORY_SHARE);
         let ratio = self.spread_ratio();
-        let average = if self.view {
-            (0.0, 0.0, 0.0)
-        } else {
-            self.average_load(ratio)
-        };
         // Fits: machine, UCaC after the bind, how well it suits.
         let mut fits: Vec<(usize, f64, u8)> = Vec::new();
         let mut crowded = Vec::new();
         let mut room = (f64::MAX, 0, 0.0, 0.0, Vec::new());
         let holds = self.list_holds();
         for m in self.ready().filter(|&m| holds && self.may_send(task, m)) {
-            let (c, big_b, used_memory) = self.load(m, ratio, average);
+            let (c, big_b, used_memory, later) = self.load(m, ratio);
             let root = (big_b + b).sqrt();
             let ucac = c + mu + D * root;
             let over_cores = c + mu + (1.0 - ease) * D * root - HEADROOM * self.mac.cores[m];
             // All that a machine has accepted, listed late; where no list tells, own tasks at least.
-            let mut asked: f64 = self.own(m).map(|t| t.cores).sum();
-            let (mut asked_memory, mut unasked_memory) = (0.0, 0.0);
+            let (mut asked, mut asked_memory) = (self.own(m).map(|t| t.cores).sum(), 0.0);
             if self.view {
-                let (since_cores, since_memory) = self.asked_since(m, self.mac.view_at[m] - VIEW_LAG);
-                asked = self.mac.cores[m] - self.mac.view[m].0 + since_cores;
-                unasked_memory = self.mac.view[m].1 - since_memory;
-                asked_memory = self.mac.memory[m] - unasked_memory;
+                let listed = self.asked(m);
+                (asked, asked_memory) = (listed.0 + later.0, listed.1 + later.1);
             }
             let over_asked = asked + cores > accepts_cores * self.mac.cores[m];
             if over_asked || asked_memory + memory > accepts_memory * self.mac.memory[m] {
                 continue;
             }
             // Memory must fit what nobody asked for, or else a share of all by use.
-            let over_memory =
-                (used_memory + memory - memory_share * self.mac.memory[m]).min(memory - unasked_memory);
+            let mut over_memory = used_memory + memory - memory_share * self.mac.memory[m];
+            if self.view {
+                over_memory = over_memory.min(asked_memory + memory - self.mac.memory[m]);
+            }
             if over_cores <= 0.0 && over_memory <= 0.0 {
                 fits.push((m, ucac, self.suits(m, f, s, ucac)));
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
                 crowded.push((m, -over_cores, 0));
-            } else if self.priority(f) > 0.0 && fits.is_empty() {
-                let line = self.movable(m, self.priority(f));
+            } else if self.frameworks[f].priority > 0.0 && fits.is_empty() {
+                let line = self.movable(m, f);
                 let leaving = || line.iter().map(|&o| &self.tasks[o]);
                 let free: f64 = leaving().map(|t| self.uses[t.service].mean).sum();
                 let free_memory = leaving().map(|t| t.memory).sum::<f64>() * self.memory_use.mean;
@@ -438,13 +385,16 @@
         } else {
             return false;
         };
-        let patience = self.patience(task);
+        // Half of the limit, or all of it where an answer comes once the task runs: a start given up is lost.
+        let half = if text(&self.given, "familyInfo.yesAt") == "running" { 1.0 } else { 0.5 };
+        let patience = (half * self.rule(&format!("classes.{f}.deadlineUs"))) as i64;
         let t = &mut self.tasks[task];
         (t.phase, t.machine, t.sent_at, t.ran_at) = (Phase::Out, m, self.now, 0);
         t.launches += 1;
         self.mac.held[m].push(task);
         self.mac.sends[m].insert(0, self.now);
         self.mac.sends[m].truncate(MOST_SENDS);
+        let patience = patience.min(t.limit_at - self.now);
         self.host.launch(task, m, patience);
         true
     }
@@ -458,24 +408,16 @@
         if wrong_kind || !self.group_allows(task, m) {
             return false;
         }
-        // A machine that fails is left alone, then tried with one launch at a time; none gets a crowd.
-        let most = if self.mac.ailing[m] > 0.2 { 1 } else { MOST_OUT };
-        let trial = self.own(m).filter(|t| t.phase == Phase::Out).count() >= most;
-        if trial || self.now < self.mac.shun_until[m] || t.tried.contains(&m) {
+        if self.now < self.mac.shun_until[m] || t.tried.contains(&m) {
             return false;
         }
-        let (cell, zone) = (self.mac.place[m].2, self.mac.place[m].1);
+        let spread = self.frameworks[f].spread.as_str();
         let here = |o: usize| self.own(o).filter(|t| t.service == s).count();
-        let all_here = |near: &dyn Fn(&Place) -> bool| -> usize {
-            (0..self.mac.listed.len())
-                .filter(|&o| near(&self.mac.place[o]))
-                .map(here)
-                .sum()
-        };
-        let together = match self.frameworks[f].spread.as_str() {
+        let near = |a: Place, b: Place| if spread == "cell" { a.2 == b.2 } else { a.1 == b.1 };
+        let places = |o: &usize| near(self.mac.place[*o], self.mac.place[m]);
+        let together = match spread {
             "machine" => here(m),
-            "cell" => all_here(&|at| at.2 == cell),
-            "zone" => all_here(&|at| at.1 == zone),
+            "cell" | "zone" => (0..self.mac.listed.len()).filter(places).map(here).sum(),
             _ => return self.cold_budget_allows(m),
         };
         together < self.frameworks[f].most && self.cold_budget_allows(m)
@@ -491,10 +433,7 @@
         }
         // A launch may be late by the time that a connection takes.
         let window = self.rule("rules.fallUs") as i64 + self.rule("permissions.connectTimeoutUs") as i64;
-        let (bears, planners) = (
-            self.rule("familyInfo.coldSends"),
-            self.rule("nInstances").max(1.0),
-        );
+        let (bears, planners) = (self.rule("familyInfo.coldSends"), self.rule("nInstances").max(1.0));
         let (mut part, mut since) = ((bears / planners) as usize, self.now - window);
         if part == 0 {
             let (slot, turns) = ((self.now / window) as u64, (bears / 2.0) as u64);
@@ -511,9 +450,9 @@
     fn group_allows(&self, task: usize, m: usize) -> bool {
         let t = &self.tasks[task];
         let Some((first, at)) = t.unsure else { return true };
-        let kept = match self.semantics(t.framework) {
+        let kept = match self.frameworks[t.framework].semantics.as_str() {
             "retryable" => return true,
-            "dedup" => match self.frameworks[t.framework].group.as_str() {
+            "dedup" => match text(&self.given, &format!("classes.{}.group", t.framework)) {
                 "all" => true,
                 "zone" => self.mac.place[first].1 == self.mac.place[m].1,
                 _ => self.mac.place[first].2 == self.mac.place[m].2,
@@ -521,16 +460,7 @@
             _ => false,
         };
         let travel = self.rule("permissions.connectTimeoutUs") as i64;
-        kept && self.now + travel < at + self.frameworks[t.framework].window
-    }
-
-    /// How long a launch may go without an answer: half of the limit, or all of it where the answer comes
-    /// only once the task runs, as a start given up is work lost.
-    fn patience(&self, task: usize) -> i64 {
-        let t = &self.tasks[task];
-        let at_start = text(&self.given, "familyInfo.yesAt") == "running";
-        let share = if at_start { 1.0 } else { 0.5 };
-        (t.limit_at - self.now).min((share * self.frameworks[t.framework].limit) as i64)
+        kept && self.now + travel < at + self.rule(&format!("classes.{}.windowUs", t.framework)) as i64
     }
 
     pub fn accepted(&mut self, task: usize) {
@@ -539,10 +469,8 @@
             return;
         }
         t.phase = Phase::Placed;
-        let (m, f, took) = (t.machine, t.framework, (self.now - t.sent_at) as f64);
+        let (f, took) = (t.framework, (self.now - t.sent_at) as f64);
         self.answer_us[f] += 0.1 * (took - self.answer_us[f]);
-        self.mac.ailing[m] *= 0.8;
-        self.answers(m);
         if text(&self.given, "familyInfo.yesAt") == "running" {
             self.tasks[task].ran_at = self.now;
         }
@@ -551,14 +479,11 @@
     /// News of a task: 1 it runs, 2 cores and 3 memory in use, 4 how well it is served.
     pub fn noted(&mut self, task: usize, sort: i64, value: f64) {
         let t = &self.tasks[task];
-        let (f, s) = (t.framework, t.service);
         match sort {
             1 if t.ran_at == 0 => self.tasks[task].ran_at = self.now,
             2 => {
-                let share = value / t.cores.max(0.001);
-                self.uses[s].learn(value, 32.0);
-                self.shares[f].learn(share, 256.0);
-                self.cores_use.learn(share, 64.0);
+                self.cores_use.learn(value / t.cores.max(0.001), 64.0);
+                self.uses[t.service].learn(value, 32.0);
             }
             3 => self.memory_use.learn(value / t.memory.max(0.001), 128.0),
             4 => self.served(task, value),
@@ -566,26 +491,21 @@
         }
     }
 
-    /// How well a task is served tells what its machine's cores are worth, as true speeds are not listed.
-    /// Where it is poor, from whatever cause, own tasks of lower priority make way; where there are none, and
-    /// it is bad, the task itself leaves for a machine that is calm for it.
+    /// Where a task is served badly, from whatever cause, own tasks of lower priority make way; where there
+    /// are none, one of higher priority leaves itself for a machine that is calm for it.
     fn served(&mut self, task: usize, value: f64) {
         let t = &self.tasks[task];
         let (f, m, mean, memory) = (t.framework, t.machine, self.uses[t.service].mean, t.memory);
         let calm = self.frameworks[f].calm;
-        let busy = calm + self.frameworks[f].fade * (1.0 - value);
-        let told = (self.mac.used_cores[m] / (busy * self.mac.cores[m])).clamp(0.3, 1.0);
-        self.mac.speed[m] += 0.5 * (if value < 0.95 { told } else { 1.0 } - self.mac.speed[m]);
-        let line = self.movable(m, self.priority(f));
-        let crowded = self.mac.used_cores[m] > 0.6 * calm * self.mac.cores[m];
-        if value < 0.9 && crowded && !line.is_empty() {
+        let line = self.movable(m, f);
+        if value < 0.9 && !line.is_empty() && self.load(m, 0.0).0 > 0.6 * calm * self.mac.cores[m] {
             self.relieve(line, 0.1 * self.mac.cores[m], 0.0);
-        } else if value < POOR && self.priority(f) > 0.0 && self.tasks[task].phase == Phase::Placed {
-            let mac = &self.mac;
+        } else if value < POOR && self.frameworks[f].priority > 0.0 && t.phase == Phase::Placed {
             let calm_there = |o: usize| {
-                let cores = mac.used_cores[o] + mean <= calm * mac.speed[o] * mac.cores[o];
-                let well = o != m && self.now >= mac.shun_until[o];
-                well && cores && mac.used_memory[o] + memory <= MEMORY_SHARE * mac.memory[o]
+                let (c, _, used, _) = self.load(o, 0.0);
+                let well = o != m && self.now >= self.mac.shun_until[o];
+                let cores = c + mean <= calm * self.mac.cores[o];
+                well && cores && used + memory <= MEMORY_SHARE * self.mac.memory[o]
             };
             if self.ready().any(calm_there) {
                 self.relieve(vec![task], mean, 0.0);
@@ -595,23 +515,16 @@
 
     pub fn resolved(&mut self, task: usize, end: Outcome, why: i64, over: bool, report: &[f64]) {
         let t = &self.tasks[task];
-        let (m, s, phase, sent_at, ran_at) = (t.machine, t.service, t.phase, t.sent_at, t.ran_at);
+        let (m, phase, sent_at) = (t.machine, t.phase, t.sent_at);
         self.mac.held[m].retain(|&o| o != task);
         self.read_report(m, report);
-        if ran_at > 0 {
-            self.mac.kept[m].retain(|&k| k != s);
-            self.mac.kept[m].insert(0, s);
-            self.mac.kept[m].truncate(KEPT);
-        }
         match end {
             // No room, or a long line of offers: others may fit a little later.
-            Outcome::Full => {
-                self.answers(m);
-                self.mac.shun_until[m] = self.mac.shun_until[m].max(self.now + 1_000_000);
+            Outcome::Full => self.mac.shun_until[m] = self.mac.shun_until[m].max(self.now + 1_000_000),
+            Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Error => {
+                self.mac.shun_until[m] = self.now + BARRED
             }
-            Outcome::ConnectFailed | Outcome::TimedOut => self.fails(m, 0.5, true),
-            Outcome::Error => self.fails(m, 0.3, false),
-            Outcome::Reset if phase == Phase::Out || why == 0 => self.fails(m, 0.3, true),
+            Outcome::Reset if phase == Phase::Out || why == 0 => self.mac.shun_until[m] = self.now + BARRED,
             _ => {}
         }
         let t = &mut self.tasks[task];
@@ -631,7 +544,6 @@
         if spent || self.too_late(task) {
             self.give_up(task);
         } else if !self.place(task) {
-            self.tasks[task].tried.clear();
             self.wait(task);
         }
     }
@@ -652,6 +564,7 @@
         let stop = t.limit_at - self.answer_us[t.framework] as i64 - self.now;
         let token = self.token(task);
         self.host.timer(stop.max(0), token);
+        self.tasks[task].tried.clear();
         self.waiting.push(task);
     }
 
@@ -666,8 +579,9 @@
     fn give_up(&mut self, task: usize) {
         self.tasks[task].phase = Phase::Over;
         let f = self.tasks[task].framework;
-        let in_all = self.frameworks[f].group == "all";
-        let harmless = self.semantics(f) == "retryable" || (self.semantics(f) == "dedup" && in_all);
+        let in_all = text(&self.given, &format!("classes.{f}.group")) == "all";
+        let harmless = self.frameworks[f].semantics == "retryable"
+            || (self.frameworks[f].semantics == "dedup" && in_all);
         if harmless || self.tasks[task].unsure.is_none() {
             self.host.decline(task, 0);
         } else {
@@ -681,7 +595,7 @@
         let value = |o: usize| self.frameworks[self.tasks[o].framework].value;
         let stamp = |o: usize| self.tasks[o].stamp;
         line.sort_by(|&a, &b| value(b).total_cmp(&value(a)).then(stamp(a).cmp(&stamp(b))));
-        let mut least = vec![f64::MAX; self.shares.len()];
+        let mut least = vec![f64::MAX; self.frameworks.len()];
         for task in line {
             let (f, cores) = (self.tasks[task].framework, self.tasks[task].cores);
             if self.too_late(task) {
@@ -704,7 +618,8 @@
         }
         self.host.timer(TICK, 0);
         if self.now >= self.list_due {
-            self.ask_for_list();
+            self.host.watch(true);
+            self.list_due = self.now + 5_000_000;
         }
         self.probe_round();
         self.serve_waiting();
@@ -715,16 +630,13 @@
     }
 
     fn probe_round(&mut self) {
-        let may = self.rule("permissions.probes") > 0.0;
         let every = self.probe_every();
-        if every >= STALE {
+        if every >= STALE || self.rule("permissions.probes") == 0.0 {
             return;
         }
         let old = |m: usize| self.now - self.mac.report_at[m].max(self.mac.probed_at[m]) >= every;
-        let due: Vec<usize> = self.ready().filter(|&m| may && old(m)).collect();
-        for m in due {
-            self.probe(m);
-        }
+        let due: Vec<usize> = self.ready().filter(|&m| old(m)).collect();
+        due.into_iter().for_each(|m| self.probe(m));
     }
 
     fn probe(&mut self, m: usize) {
@@ -742,9 +654,8 @@
         self.know_machine(m);
         if outcome == Outcome::Ended {
             self.read_report(m, report);
-            self.answers(m);
         } else if outcome != Outcome::Full {
-            self.fails(m, 0.3, true);
+            self.mac.shun_until[m] = self.now + BARRED;
         }
         self.asked = self.asked.saturating_sub(1);
         if self.asked == 0 {
@@ -752,35 +663,24 @@
         }
     }
 
-    /// A machine that was silent answers: it may have restarted before the list says so.
-    fn answers(&mut self, m: usize) {
-        if self.mac.silent[m] {
-            (self.mac.silent[m], self.mac.shun_until[m]) = (false, self.now);
-            self.mac.cold_until[m] = self.mac.cold_until[m].max(self.now + self.rule("rules.coldUs") as i64);
-        }
-    }
-
-    /// Each failure makes the machine ail more, and the more it ails the longer it is left alone.
-    fn fails(&mut self, m: usize, weight: f64, silent: bool) {
-        self.mac.ailing[m] += weight * (1.0 - self.mac.ailing[m]);
-        self.mac.silent[m] |= silent;
-        self.mac.shun_until[m] = self.now + (self.mac.ailing[m] * 4_000_000.0) as i64;
-    }
-
     fn read_report(&mut self, m: usize, report: &[f64]) {
         let asked = self.asked(m);
         self.mac.asked_then[m] = asked;
         for (i, &value) in report.iter().enumerate() {
             match text(&self.given, &format!("stats.fields.{i}")) {
                 "x0" => {
-                    self.mac.used_cores[m] = (self.mac.cores[m] - value).max(0.0);
-                    self.mac.report_at[m] = self.now;
+                    let used = (self.mac.cores[m] - value).max(0.0);
+                    (self.mac.used_cores[m], self.mac.report_at[m]) = (used, self.now);
+                    self.average.0.learn(used / self.mac.cores[m].max(1.0), 16.0);
                     if self.view && asked.0 > 0.1 * self.mac.cores[m] {
-                        self.cores_use.learn(self.mac.used_cores[m] / asked.0, 64.0);
+                        self.cores_use.learn(used / asked.0, 64.0);
                     }
                 }
-                "waiting" => self.mac.line[m] = value,
-                "x1" => self.mac.used_memory[m] = (self.mac.memory[m] - value).max(0.0),
+                "x1" => {
+                    let used = (self.mac.memory[m] - value).max(0.0);
+                    self.mac.used_memory[m] = used;
+                    self.average.1.learn(used / self.mac.memory[m].max(1.0), 16.0);
+                }
                 _ => {}
             }
         }
@@ -789,42 +689,32 @@
     /// C and B of a machine and the memory in use there: as reported, brought up to date by what the list
     /// shows as asked since, and own binds that neither can contain. Without a report that is not stale, what
     /// the list shows as asked times the share in use, or the average where it shows nothing.
-    fn load(&self, m: usize, ratio: f64, average: (f64, f64, f64)) -> (f64, f64, f64) {
+    fn load(&self, m: usize, ratio: f64) -> (f64, f64, f64, Room) {
         let mac = &self.mac;
-        let (mut known, mut later, mut b, mut later_memory) = (0.0, 0.0, 0.0, 0.0);
-        let told_at = if self.view {
-            mac.view_at[m].max(mac.report_at[m])
-        } else {
-            mac.report_at[m]
-        };
+        let (mut known, mut more, mut b, mut later) = (0.0, 0.0, 0.0, (0.0, 0.0));
+        let told_at = if self.view { mac.view_at[m].max(mac.report_at[m]) } else { mac.report_at[m] };
         for t in self.own(m).filter(|t| t.sent_at >= mac.started[m]) {
             b += self.uses[t.service].variance;
-            if t.ran_at > 0 && t.ran_at + REPORT_LAG <= told_at {
+            if t.ran_at > 0 && t.ran_at + LAG <= told_at {
                 known += self.uses[t.service].mean;
             } else {
-                later += self.uses[t.service].mean;
-                later_memory += t.memory;
+                more += self.uses[t.service].mean;
+                later = (later.0 + t.cores, later.1 + t.memory);
             }
         }
         let fresh = mac.report_at[m] > 0 && self.now - mac.report_at[m] < STALE;
-        let (mut used, mut memory) = (mac.used_cores[m], mac.used_memory[m]);
+        let (mut used, mut memory) =
+            (self.average.0.mean * mac.cores[m], self.average.1.mean * mac.memory[m]);
+        if fresh {
+            (used, memory) = (mac.used_cores[m], mac.used_memory[m]);
+        }
         if self.view {
             let (now, then) = (self.asked(m), mac.asked_then[m]);
-            let from = if fresh {
-                (used, memory, then.0, then.1)
-            } else {
-                (0.0, 0.0, 0.0, 0.0)
-            };
-            used = (from.0 + self.cores_use.mean * (now.0 - from.2)).max(0.0);
-            memory = (from.1 + self.memory_use.mean * (now.1 - from.3)).max(0.0);
-        } else if !fresh {
-            return (average.0 + later, average.1 + b, average.2 + later_memory);
+            let from = if fresh { (used, memory, then) } else { (0.0, 0.0, (0.0, 0.0)) };
+            used = (from.0 + self.cores_use.mean * (now.0 - from.2 .0)).max(0.0);
+            memory = (from.1 + self.memory_use.mean * (now.1 - from.2 .1)).max(0.0);
         }
-        (
-            used + later,
-            b + (used - known).max(0.0) * ratio,
-            memory + later_memory,
-        )
+        (used + more, b + (used - known).max(0.0) * ratio, memory + later.1, later)
     }
 
     /// Cores and memory asked of a machine, as the list shows it.
@@ -845,33 +735,24 @@
     /// losses; its cores stay calm enough for full service; it holds the program, as a start takes several
     /// times as long without; it is near, where that has a price; own others there stay calm too.
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
-        let cores = self.mac.speed[m] * self.mac.cores[m];
+        let cores = self.mac.cores[m];
         let calm = |f: usize| self.frameworks[f].calm * cores >= ucac;
         let starting = self.own(m).filter(|t| t.ran_at == 0).count() as f64;
-        let short = starting.max(self.mac.line[m]) < LINE;
+        let short = starting < LINE;
         let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
-        let program = self.own(m).any(runs) || self.mac.kept[m].contains(&s);
+        let program = self.own(m).any(runs);
         let others = self.own(m).all(|t| calm(t.framework));
         let near = self.home_zone.is_none_or(|zone| zone == self.mac.place[m].1);
         let marks = [short, program, near, calm(f), others];
         marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
-    fn semantics(&self, f: usize) -> &str {
-        &self.frameworks[f].semantics
-    }
-
-    fn priority(&self, f: usize) -> f64 {
-        self.frameworks[f].priority
-    }
-
-    /// Own placed tasks on a machine that give way to a priority: below it, and free to run again.
-    fn movable(&self, m: usize, priority: f64) -> Vec<usize> {
-        let below = |t: &Task| self.priority(t.framework) < priority;
-        let may =
-            |t: &Task| t.phase == Phase::Placed && below(t) && self.semantics(t.framework) == "retryable";
-        let held = self.mac.held[m].iter().copied();
-        held.filter(|&o| may(&self.tasks[o])).collect()
+    /// Own placed tasks on a machine that give way to a framework: of lower priority, and free to run again.
+    fn movable(&self, m: usize, f: usize) -> Vec<usize> {
+        let below = |t: &Task| self.frameworks[t.framework].priority < self.frameworks[f].priority;
+        let free = |t: &Task| self.frameworks[t.framework].semantics == "retryable";
+        let may = |t: &Task| t.phase == Phase::Placed && below(t) && free(t);
+        self.mac.held[m].iter().copied().filter(|&o| may(&self.tasks[o])).collect()
     }
 
     /// Moves tasks, the largest first, until they free so many cores and memory units.
@@ -889,40 +770,12 @@
         }
     }
 
-    /// Whether a task's tenant holds, through this planner, far more than its part of the tenant's cores: an
-    /// even part, or more where this planner holds more of all that the list shows as asked.
-    fn over_share(&self, task: usize) -> bool {
-        let tenant = self.tasks[task].tenant;
-        let asked: f64 = self.ready().map(|m| self.mac.cores[m] - self.mac.view[m].0).sum();
-        let all = || self.ready().flat_map(|m| self.own(m));
-        let held: f64 = all().filter(|t| t.tenant == tenant).map(|t| t.cores).sum();
-        let part = (all().map(|t| t.cores).sum::<f64>() / asked.max(1.0)).max(1.0 / self.rule("nInstances"));
-        tenant.is_some_and(|t| held > FAR * part * self.rule(&format!("familyInfo.quotaCores.{t}")))
-    }
-
     /// Mean variance-to-mean ratio of the known services.
     fn spread_ratio(&self) -> f64 {
         let known = || self.uses.iter().filter(|u| u.notes > 0.0 && u.mean > 0.0);
         known().map(|u| u.variance / u.mean).sum::<f64>() / known().count().max(1) as f64
     }
 
-    fn average_load(&self, ratio: f64) -> (f64, f64, f64) {
-        let mac = &self.mac;
-        let reported = || {
-            self.ready()
-                .filter(|&m| mac.report_at[m] > 0 && self.now - mac.report_at[m] < STALE)
-        };
-        let n = reported().count().max(1) as f64;
-        let sum = reported().map(|m| self.load(m, ratio, (0.0, 0.0, 0.0)));
-        let (c, b, memory) = sum.fold((0.0, 0.0, 0.0), |acc, x| (acc.0 + x.0, acc.1 + x.1, acc.2 + x.2));
-        (c / n, b / n, memory / n)
-    }
-
-    fn asked_since(&self, m: usize, since: i64) -> (f64, f64) {
-        let late = self.own(m).filter(|t| t.sent_at > since);
-        late.fold((0.0, 0.0), |acc, t| (acc.0 + t.cores, acc.1 + t.memory))
-    }
-
     /// Machines that the list shows as ready.
     fn ready(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.mac.listed.len()).filter(|&m| self.mac.listed[m])
@@ -938,24 +791,23 @@
     }
 
     fn know_machine(&mut self, m: usize) {
-        let mac = &mut self.mac;
-        while mac.listed.len() <= m {
-            mac.listed.push(false);
-            mac.silent.push(false);
-            mac.speed.push(1.0);
-            mac.place.push((0, 0, 0));
-            mac.view.push((0.0, 0.0));
-            mac.asked_then.push((0.0, 0.0));
-            mac.number.push(mac.number.len() as u64);
-            mac.held.push(Vec::new());
-            mac.kept.push(Vec::new());
-            mac.sends.push(Vec::new());
-            let a = [&mut mac.started, &mut mac.report_at, &mut mac.view_at];
-            let b = [&mut mac.cold_until, &mut mac.shun_until, &mut mac.probed_at];
-            a.into_iter().chain(b).for_each(|times| times.push(0));
-            let a = [&mut mac.cores, &mut mac.memory, &mut mac.used_cores];
-            let b = [&mut mac.used_memory, &mut mac.ailing, &mut mac.line];
-            a.into_iter().chain(b).for_each(|figures| figures.push(0.0));
+        let (mac, n) = (&mut self.mac, m + 1);
+        if n <= mac.listed.len() {
+            return;
         }
+        mac.listed.resize(n, false);
+        mac.place.resize(n, (0, 0, 0));
+        mac.number.resize(n, m as u64);
+        for rooms in [&mut mac.view, &mut mac.asked_then] {
+            rooms.resize(n, (0.0, 0.0));
+        }
+        mac.held.resize(n, Vec::new());
+        mac.sends.resize(n, Vec::new());
+        let a = [&mut mac.started, &mut mac.report_at, &mut mac.view_at];
+        let b = [&mut mac.cold_until, &mut mac.shun_until, &mut mac.probed_at];
+        a.into_iter().chain(b).for_each(|times| times.resize(n, 0));
+        let a = [&mut mac.cores, &mut mac.memory, &mut mac.used_cores];
+        let b = [&mut mac.used_memory];
+        a.into_iter().chain(b).for_each(|figures| figures.resize(n, 0.0));
     }
 }
