--- a/src/logic.rs
+++ b/src/logic.rs
@@ -518,15 +518,15 @@
         let (m, phase, sent_at) = (t.machine, t.phase, t.sent_at);
         self.mac.held[m].retain(|&o| o != task);
         self.read_report(m, report);
-        match end {
-            // No room, or a long line of offers: others may fit a little later.
-            Outcome::Full => self.mac.shun_until[m] = self.mac.shun_until[m].max(self.now + 1_000_000),
-            Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Error => {
-                self.mac.shun_until[m] = self.now + BARRED
-            }
-            Outcome::Reset if phase == Phase::Out || why == 0 => self.mac.shun_until[m] = self.now + BARRED,
-            _ => {}
-        }
+        // A machine that fails is barred, and so is one that leaves: it turns tasks off or sends them away,
+        // which the list tells only later. Where a line is long or room is short, others fit soon.
+        let bar = match end {
+            Outcome::Full if why != 4 => 1_000_000,
+            Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Error | Outcome::Full => BARRED,
+            Outcome::Reset if phase == Phase::Out || why == 0 || why == 7 => BARRED,
+            _ => 0,
+        };
+        self.mac.shun_until[m] = self.mac.shun_until[m].max(self.now + bar);
         let t = &mut self.tasks[task];
         if over || phase != Phase::Out {
             t.phase = Phase::Over;
