--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,7 +15,7 @@
 /// A report or an entry of the list is taken to contain a task that had run this long when it came.
 const LAG: i64 = 1_500_000;
 /// Own tasks yet to start that a machine may have before others go first.
-const LINE: f64 = 6.0;
+const LINE: usize = 6;
 /// Share of the latency goal over which a waiting task's margin melts.
 const EASE: f64 = 0.3;
 /// Served below this share, a task of higher priority is better off moved.
@@ -737,13 +737,13 @@
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
         let cores = self.mac.cores[m];
         let calm = |f: usize| self.frameworks[f].calm * cores >= ucac;
-        let starting = self.own(m).filter(|t| t.ran_at == 0).count() as f64;
-        let short = starting < LINE;
+        let short = self.own(m).filter(|t| t.ran_at == 0).count() < LINE;
         let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
         let program = self.own(m).any(runs);
         let others = self.own(m).all(|t| calm(t.framework));
         let near = self.home_zone.is_none_or(|zone| zone == self.mac.place[m].1);
-        let marks = [short, program, near, calm(f), others];
+        let bears = self.frameworks[f].calm + 0.5 * self.frameworks[f].fade >= HEADROOM;
+        let marks = [bears || calm(f), short, program, near, calm(f), others];
         marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
