Many planners use their turns at cold machines where the fleet is pressed

Covers deploys, preempted and restarted machines; may hurt where cold machines start so slowly that waiting is better.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,6 +24,8 @@
 const MOST_SENDS: usize = 256;
 /// The memory share for a task whose margin has melted: asks count in full but are not used in full.
 const MEMORY_EASED: f64 = 1.1;
+/// Share in use, over all reports, from which on turns at cold machines come first.
+const PRESSED: f64 = 0.6;
 /// How long a failure of any kind bars a machine.
 const BARRED: i64 = 3_000_000;
 const TICK: i64 = 100_000;
@@ -61,8 +63,7 @@
     /// The start counts as one note; each moves mean and variance by at least one part in `memory`.
     fn learn(&mut self, value: f64, memory: f64) {
         self.notes += 1.0;
-        let w = (1.0 / (self.notes + 1.0)).max(1.0 / memory);
-        let off = value - self.mean;
+        let (w, off) = ((1.0 / (self.notes + 1.0)).max(1.0 / memory), value - self.mean);
         self.mean += w * off;
         self.variance = (1.0 - w) * (self.variance + w * off * off);
     }
@@ -703,16 +704,14 @@
             }
         }
         let fresh = mac.report_at[m] > 0 && self.now - mac.report_at[m] < STALE;
-        let (mut used, mut memory) =
-            (self.average.0.mean * mac.cores[m], self.average.1.mean * mac.memory[m]);
-        if fresh {
-            (used, memory) = (mac.used_cores[m], mac.used_memory[m]);
-        }
+        let (mut used, mut memory) = (mac.used_cores[m], mac.used_memory[m]);
         if self.view {
             let (now, then) = (self.asked(m), mac.asked_then[m]);
             let from = if fresh { (used, memory, then) } else { (0.0, 0.0, (0.0, 0.0)) };
             used = (from.0 + self.cores_use.mean * (now.0 - from.2 .0)).max(0.0);
             memory = (from.1 + self.memory_use.mean * (now.1 - from.2 .1)).max(0.0);
+        } else if !fresh {
+            (used, memory) = (self.average.0.mean * mac.cores[m], self.average.1.mean * mac.memory[m]);
         }
         (used + more, b + (used - known).max(0.0) * ratio, memory + later.1, later)
     }
@@ -731,28 +730,29 @@
         (mixed ^ mixed >> 31).wrapping_mul(0x94d0_49bb_1331_11eb) ^ mixed >> 29
     }
 
-    /// How well a fitting machine suits: its line of offers and starts is short, as crowds form after mass
-    /// losses; its cores stay calm enough for full service; it holds the program, as a start takes several
-    /// times as long without; it is near, where that has a price; own others there stay calm too.
+    /// How well a fitting machine suits: it is cold and, among many planners, this one's turn, while the
+    /// fleet is pressed (mass losses, deploys); it is calm, for what crowding stops; few own tasks start
+    /// there; it has the program, as a start takes far longer without; it is near; it stays calm for others.
     fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
-        let cores = self.mac.cores[m];
-        let calm = |f: usize| self.frameworks[f].calm * cores >= ucac;
+        let calm = |f: usize| self.frameworks[f].calm * self.mac.cores[m] >= ucac;
         let short = self.own(m).filter(|t| t.ran_at == 0).count() < LINE;
-        let runs = |t: &Task| t.service == s && t.sent_at >= self.mac.started[m];
-        let program = self.own(m).any(runs);
+        let program = self.own(m).any(|t| t.service == s && t.sent_at >= self.mac.started[m]);
         let others = self.own(m).all(|t| calm(t.framework));
         let near = self.home_zone.is_none_or(|zone| zone == self.mac.place[m].1);
         let bears = self.frameworks[f].calm + 0.5 * self.frameworks[f].fade >= HEADROOM;
-        let marks = [bears || calm(f), short, program, near, calm(f), others];
+        let pressed = self.average.0.mean.max(self.average.1.mean) > PRESSED;
+        let many = || self.rule("familyInfo.coldSends") < self.rule("nInstances");
+        let turn = self.now < self.mac.cold_until[m] && pressed && many();
+        let marks = [turn, bears || calm(f), short, program, near, calm(f), others];
         marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
     /// Own placed tasks on a machine that give way to a framework: of lower priority, and free to run again.
     fn movable(&self, m: usize, f: usize) -> Vec<usize> {
-        let below = |t: &Task| self.frameworks[t.framework].priority < self.frameworks[f].priority;
-        let free = |t: &Task| self.frameworks[t.framework].semantics == "retryable";
-        let may = |t: &Task| t.phase == Phase::Placed && below(t) && free(t);
-        self.mac.held[m].iter().copied().filter(|&o| may(&self.tasks[o])).collect()
+        let of = |o: usize| &self.frameworks[self.tasks[o].framework];
+        let below = |o: usize| of(o).semantics == "retryable" && of(o).priority < self.frameworks[f].priority;
+        let may = |&o: &usize| self.tasks[o].phase == Phase::Placed && below(o);
+        self.mac.held[m].iter().copied().filter(may).collect()
     }
 
     /// Moves tasks, the largest first, until they free so many cores and memory units.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -359,3 +359,28 @@
     "#]]
     .assert_eq(&p.host.text);
 }
+
+/// Where the fleet is pressed, one of many planners uses its turn at a cold machine (it hardly did after deploys).
+#[test]
+fn a_pressed_fleet_fills_cold_machines_by_turns() {
+    let mut trace = String::new();
+    for used in [4.0, 11.0] {
+        let more = [("nInstances", "300"), ("familyInfo.coldSends", "299"), ("permissions.probes", "0")];
+        let mut p = planner(&more, &[used, used, used]);
+        list(&mut p, false, &[(3, Ready, 9_000_000)]);
+        at_time(&mut p, 11_250_000);
+        for task in 0..3 {
+            small(&mut p, task, task);
+        }
+        trace += &p.host.text;
+    }
+    expect![[r#"
+        11250 ms  launch task 0 on machine 2 for 3000 ms
+        11250 ms  launch task 1 on machine 2 for 3000 ms
+        11250 ms  launch task 2 on machine 2 for 3000 ms
+        11250 ms  launch task 0 on machine 2 for 3000 ms
+        11250 ms  launch task 1 on machine 2 for 3000 ms
+        11250 ms  launch task 2 on machine 1 for 3000 ms
+    "#]]
+    .assert_eq(&trace);
+}
