Before any report a machine counts as unused again, not as full

A regression of the average kept as reports come: it starts at all in use, so that a planner that nothing had reported to held its first tasks back.

--- a/benchlink/tests/conversation.rs
+++ b/benchlink/tests/conversation.rs
@@ -45,9 +45,10 @@
         {"type":"setAlarm","who":0,"fromNowUs":100000,"ref":0}
         {"type":"setAlarm","who":1,"fromNowUs":100000,"ref":0}
         {"type":"finished"}
-        {"type":"setAlarm","who":0,"fromNowUs":4700000,"ref":4294967296}
-        {"type":"setAlarm","who":1,"fromNowUs":4700000,"ref":4294967296}
+        {"type":"put","who":0,"opId":"00000000000000a1","machine":"m-a","capUs":3000000}
+        {"type":"put","who":1,"opId":"00000000000000a1","machine":"m-b","capUs":3000000}
         {"type":"finished"}
+        {"type":"setAlarm","who":0,"fromNowUs":4690000,"ref":4294967296}
         {"type":"finished"}
         exit Some(0)
     "#]]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -710,7 +710,7 @@
             let from = if fresh { (used, memory, then) } else { (0.0, 0.0, (0.0, 0.0)) };
             used = (from.0 + self.cores_use.mean * (now.0 - from.2 .0)).max(0.0);
             memory = (from.1 + self.memory_use.mean * (now.1 - from.2 .1)).max(0.0);
-        } else if !fresh {
+        } else if !fresh && self.average.0.notes > 0.0 {
             (used, memory) = (self.average.0.mean * mac.cores[m], self.average.1.mean * mac.memory[m]);
         }
         (used + more, b + (used - known).max(0.0) * ratio, memory + later.1, later)
