Read-through: nothing written or worked out twice

What a framework bears is worked out once at start, not in place and again for each fitting machine; the list is asked for in one function again; own asks are summed only where no list tells asks; arrays that are gone left no chains behind.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,7 +79,8 @@
     value: f64,
     goal: f64,
     calm: f64,
-    fade: f64,
+    /// The middle of its fade over the headroom share: below 0, crowding stops its tasks.
+    bears: f64,
 }
 
 #[derive(Default)]
@@ -172,7 +173,7 @@
                 priority: kin("priorityByClass"),
                 value: per("worth").unwrap_or(0.0),
                 calm: kin("calmLevel"),
-                fade: kin("fadeSpan"),
+                bears: kin("calmLevel") + 0.5 * kin("fadeSpan") - HEADROOM,
             })
         };
         let view = number(&given, "familyInfo.view").unwrap_or(0.0) > 0.0;
@@ -205,8 +206,7 @@
             mac: Machines::default(),
         };
         if text(&planner.given, "discovery") == "ask" {
-            planner.host.watch(true);
-            planner.list_due = now + 5_000_000;
+            planner.ask_for_list();
         }
         planner.host.timer(TICK, 0);
         planner
@@ -260,6 +260,11 @@
         self.list_due = self.now + self.chance.i64(wait / 2..wait);
     }
 
+    fn ask_for_list(&mut self) {
+        self.host.watch(true);
+        self.list_due = self.now + 5_000_000;
+    }
+
     /// Whether the list can be relied on for drains: a planner that has not asked for long counts as told.
     fn list_holds(&self) -> bool {
         self.list_due == i64::MAX || self.now < self.heard_at + self.rule("rules.askEveryUs") as i64
@@ -322,7 +327,7 @@
         // crowding only slows goes to the least crowded machine.
         let waited = self.now - t.born_at;
         let ease = (waited as f64 / (EASE * self.frameworks[f].goal).max(1.0)).min(1.0);
-        let bears = self.frameworks[f].calm + 0.5 * self.frameworks[f].fade - HEADROOM;
+        let bears = self.frameworks[f].bears;
         let accepts_cores = self.rule("familyInfo.admitCores");
         let accepts_memory = self.rule("familyInfo.admitMemory");
         let memory_share = MEMORY_SHARE + ease * (MEMORY_EASED - MEMORY_SHARE);
@@ -338,11 +343,9 @@
             let ucac = c + mu + D * root;
             let over_cores = c + mu + (1.0 - ease) * D * root - HEADROOM * self.mac.cores[m];
             // All that a machine has accepted, listed late; where no list tells, own tasks at least.
-            let (mut asked, mut asked_memory) = (self.own(m).map(|t| t.cores).sum(), 0.0);
-            if self.view {
-                let listed = self.asked(m);
-                (asked, asked_memory) = (listed.0 + later.0, listed.1 + later.1);
-            }
+            let listed = self.asked(m);
+            let asked = if self.view { listed.0 + later.0 } else { self.own(m).map(|t| t.cores).sum() };
+            let asked_memory = if self.view { listed.1 + later.1 } else { 0.0 };
             let over_asked = asked + cores > accepts_cores * self.mac.cores[m];
             if over_asked || asked_memory + memory > accepts_memory * self.mac.memory[m] {
                 continue;
@@ -387,15 +390,15 @@
             return false;
         };
         // Half of the limit, or all of it where an answer comes once the task runs: a start given up is lost.
-        let half = if text(&self.given, "familyInfo.yesAt") == "running" { 1.0 } else { 0.5 };
-        let patience = (half * self.rule(&format!("classes.{f}.deadlineUs"))) as i64;
+        let share = if text(&self.given, "familyInfo.yesAt") == "running" { 1.0 } else { 0.5 };
+        let patience = (share * self.rule(&format!("classes.{f}.deadlineUs"))) as i64;
         let t = &mut self.tasks[task];
+        let patience = patience.min(t.limit_at - self.now);
         (t.phase, t.machine, t.sent_at, t.ran_at) = (Phase::Out, m, self.now, 0);
         t.launches += 1;
         self.mac.held[m].push(task);
         self.mac.sends[m].insert(0, self.now);
         self.mac.sends[m].truncate(MOST_SENDS);
-        let patience = patience.min(t.limit_at - self.now);
         self.host.launch(task, m, patience);
         true
     }
@@ -619,8 +622,7 @@
         }
         self.host.timer(TICK, 0);
         if self.now >= self.list_due {
-            self.host.watch(true);
-            self.list_due = self.now + 5_000_000;
+            self.ask_for_list();
         }
         self.probe_round();
         self.serve_waiting();
@@ -739,11 +741,10 @@
         let program = self.own(m).any(|t| t.service == s && t.sent_at >= self.mac.started[m]);
         let others = self.own(m).all(|t| calm(t.framework));
         let near = self.home_zone.is_none_or(|zone| zone == self.mac.place[m].1);
-        let bears = self.frameworks[f].calm + 0.5 * self.frameworks[f].fade >= HEADROOM;
         let pressed = self.average.0.mean.max(self.average.1.mean) > PRESSED;
         let many = || self.rule("familyInfo.coldSends") < self.rule("nInstances");
         let turn = self.now < self.mac.cold_until[m] && pressed && many();
-        let marks = [turn, bears || calm(f), short, program, near, calm(f), others];
+        let marks = [turn, self.frameworks[f].bears >= 0.0 || calm(f), short, program, near, calm(f), others];
         marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
@@ -806,8 +807,8 @@
         let a = [&mut mac.started, &mut mac.report_at, &mut mac.view_at];
         let b = [&mut mac.cold_until, &mut mac.shun_until, &mut mac.probed_at];
         a.into_iter().chain(b).for_each(|times| times.resize(n, 0));
-        let a = [&mut mac.cores, &mut mac.memory, &mut mac.used_cores];
-        let b = [&mut mac.used_memory];
-        a.into_iter().chain(b).for_each(|figures| figures.resize(n, 0.0));
+        for figures in [&mut mac.cores, &mut mac.memory, &mut mac.used_cores, &mut mac.used_memory] {
+            figures.resize(n, 0.0);
+        }
     }
 }
