Ids leave their indices when unused; index code shared, agent protocol begun

Need: the program runs for weeks, and services kept their indices for ever while spread_ratio summed over all ever seen. Beside it the agent protocol's frames, its session without I/O, silence judged from measured gaps, paced dialling.

--- /dev/null
+++ b/agent/build.rs
@@ -0,0 +1,6 @@
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("cargo:rerun-if-changed=proto/agent.proto");
+    let set = protox::compile(["agent.proto"], ["proto"])?;
+    prost_build::Config::new().compile_fds(set)?;
+    Ok(())
+}
--- /dev/null
+++ b/agent/src/lib.rs
@@ -0,0 +1,33 @@
+//! The agent protocol: between a planner and machines, the register, owners and operators.
+//! `session` is the conversation without I/O, `health` judges silence, `dial` says when to connect again,
+//! `link` carries a session over a stream on tokio. The frames are published in `proto/agent.proto`.
+pub mod dial;
+pub mod health;
+pub mod link;
+pub mod session;
+
+/// Types of the frames, made from `proto/agent.proto`.
+#[allow(clippy::large_enum_variant, clippy::doc_overindented_list_items)]
+pub mod wire {
+    include!(concat!(env!("OUT_DIR"), "/basaltpitch.agent.v1.rs"));
+    pub use frame::Body;
+
+    impl From<Body> for Frame {
+        fn from(body: Body) -> Frame {
+            Frame { body: Some(body) }
+        }
+    }
+}
+
+/// The version of the protocol that this code speaks.
+pub const VERSION: u32 = 1;
+/// The largest frame that is read, in bytes without its length.
+pub const MOST_FRAME: usize = 1 << 20;
+/// Why a machine refused, as in `Refused.why` (the same numbers as the module reads).
+pub mod why {
+    pub const NO_CORES: u32 = 1;
+    pub const NO_MEMORY: u32 = 2;
+    pub const LONG_LINE: u32 = 3;
+    /// Wrong kind, draining, too late, a copy stands, or the planner's epoch is an older one.
+    pub const NOT_HERE: u32 = 4;
+}
--- /dev/null
+++ b/agent/src/link.rs
@@ -0,0 +1,145 @@
+//! Carries a session over a stream on tokio: reads, writes, ticks. It decides nothing.
+use crate::session::{Event, Party, Session};
+use crate::wire::Body;
+use std::time::Instant;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::sync::mpsc;
+
+/// A clock of whole microseconds that starts at a given value and never goes back.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    zero: i64,
+}
+
+impl Clock {
+    /// Microseconds since 1970 at start, then by the monotonic clock.
+    pub fn start() -> Self {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Clock { start: Instant::now(), zero: since.map_or(0, |d| d.as_micros() as i64) }
+    }
+
+    pub fn now(&self) -> i64 {
+        self.zero + self.start.elapsed().as_micros() as i64
+    }
+
+    pub fn at(&self, us: i64) -> tokio::time::Instant {
+        let after = (us - self.zero).max(0) as u64;
+        tokio::time::Instant::from_std(self.start + std::time::Duration::from_micros(after))
+    }
+}
+
+/// What a link's owner may ask of it.
+#[derive(Debug)]
+pub enum Order {
+    /// A frame, with a mark if it must be known whether it was handed to the stream.
+    Send(Body, Option<u64>),
+    Close(String),
+}
+
+/// What a link tells its owner: events of the session, then `Ended` once.
+#[derive(Debug)]
+pub enum News {
+    Session(Event),
+    /// The link is gone; marks of frames of which no byte was handed to the stream.
+    Ended {
+        why: String,
+        unsent: Vec<u64>,
+    },
+}
+
+/// Runs a session over a stream until it ends. Orders come and news go by bounded channels; while the owner does
+/// not take the news, the peer is granted nothing more.
+pub async fn run<S, N>(
+    mut stream: S,
+    me: Party,
+    clock: Clock,
+    mut orders: mpsc::Receiver<Order>,
+    news: mpsc::Sender<N>,
+    wrap: impl Fn(News) -> N,
+) where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let mut session = Session::new(me, clock.now());
+    let mut buffer = vec![0; 64 * 1024];
+    let mut why = String::from("the owner of the link left");
+    'on: loop {
+        while let Some(event) = session.event() {
+            if let Event::Closed(text) = &event {
+                why = text.clone();
+                break 'on;
+            }
+            if news.send(wrap(News::Session(event))).await.is_err() {
+                break 'on;
+            }
+        }
+        let tick = clock.at(session.next_tick());
+        let (mut reader, mut writer) = tokio::io::split(&mut stream);
+        let waits = !session.to_write().is_empty();
+        tokio::select! {
+            got = reader.read(&mut buffer) => match got {
+                Ok(0) => session.cut("the peer closed the connection"),
+                Ok(n) => session.bytes(clock.now(), &buffer[..n]),
+                Err(e) => session.cut(&format!("the connection broke: {e}")),
+            },
+            done = writer.write(session.to_write()), if waits => match done {
+                Ok(n) => session.wrote(n),
+                Err(e) => session.cut(&format!("the connection broke: {e}")),
+            },
+            order = orders.recv() => {
+                let mut next = order;
+                // Take what else is there, so that many frames share a write.
+                for _ in 0..64 {
+                    match next {
+                        Some(Order::Send(body, mark)) => {
+                            if let Err(e) = session.send(body, mark) {
+                                // Not taken in at all: the mark is unsent, and the peer is beyond help.
+                                let unsent: Vec<u64> = mark.into_iter().collect();
+                                session.goodbye(&e.to_string());
+                                return end(session, stream, orders, news, wrap, e.to_string(), unsent).await;
+                            }
+                        }
+                        Some(Order::Close(text)) => session.goodbye(&text),
+                        None => {
+                            session.goodbye("the planner leaves");
+                            break;
+                        }
+                    }
+                    match orders.try_recv() {
+                        Ok(order) => next = Some(order),
+                        Err(_) => break,
+                    }
+                }
+            },
+            () = tokio::time::sleep_until(tick) => session.tick(clock.now()),
+        }
+    }
+    end(session, stream, orders, news, wrap, why, Vec::new()).await;
+}
+
+async fn end<S: AsyncWrite + Unpin, N>(
+    mut session: Session,
+    mut stream: S,
+    mut orders: mpsc::Receiver<Order>,
+    news: mpsc::Sender<N>,
+    wrap: impl Fn(News) -> N,
+    why: String,
+    mut unsent: Vec<u64>,
+) {
+    orders.close();
+    while let Some(order) = orders.recv().await {
+        if let Order::Send(_, Some(mark)) = order {
+            unsent.push(mark);
+        }
+    }
+    // One try for the goodbye; what was not handed over before is not handed over now, so it stays unsent.
+    unsent.extend(session.unsent());
+    if unsent.is_empty() && !session.to_write().is_empty() {
+        let last = stream.write(session.to_write());
+        if let Ok(Ok(n)) = tokio::time::timeout(std::time::Duration::from_millis(50), last).await {
+            session.wrote(n);
+        }
+    }
+    let _ = stream.shutdown().await;
+    let _ = news.send(wrap(News::Ended { why, unsent })).await;
+}
--- /dev/null
+++ b/agent/src/session.rs
@@ -0,0 +1,316 @@
+//! One conversation of the agent protocol, without I/O: clock and bytes in, events and bytes out.
+//! The same machine serves all roles. It says hello, keeps heartbeats and credits, judges silence, refuses what
+//! is no frame, and knows of each frame that its caller marked whether a byte of it was handed to the stream:
+//! only what was not is proved never to have been received. Times are whole microseconds.
+use crate::health::{Health, State};
+use crate::wire::{Body, Credit, Frame, Goodbye, Heartbeat, Hello, Role};
+use crate::{MOST_FRAME, VERSION};
+use bytes::{Buf, BytesMut};
+use prost::Message;
+use std::collections::VecDeque;
+use tokio_util::codec::{Decoder, LengthDelimitedCodec};
+
+/// Time between this side's heartbeats.
+pub const BEAT: i64 = 250_000;
+/// A hello must come within this time.
+pub const HELLO_WITHIN: i64 = 2_000_000;
+/// Bytes of frames that a side takes before it grants more, and that it keeps for a peer without credit.
+pub const WINDOW: u64 = 1 << 20;
+pub const MOST_HELD: usize = 4 << 20;
+
+/// Who speaks, on either side.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Party {
+    pub role: Role,
+    pub name: String,
+    pub epoch: u64,
+    pub link: u64,
+}
+
+/// What a conversation tells its caller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    Up(Party),
+    Frame(Body),
+    /// The link's silence is judged anew.
+    Health(State),
+    /// It is over; the text says why, in words for an operator.
+    Closed(String),
+}
+
+/// The peer takes nothing and the line for it is full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the peer takes nothing in and {MOST_HELD} bytes wait for it")]
+pub struct Full;
+
+pub struct Session {
+    me: Party,
+    peer: Option<Party>,
+    codec: LengthDelimitedCodec,
+    inbox: BytesMut,
+    outbox: BytesMut,
+    events: VecDeque<(Event, u64)>,
+    health: Health,
+    told: State,
+    opened_at: i64,
+    beat_at: i64,
+    seq: u64,
+    seen: u64,
+    /// Bytes that may still be sent, and bytes taken in that were not granted anew.
+    credit: u64,
+    taken: u64,
+    /// Bytes that the peer may still send.
+    granted: u64,
+    held: VecDeque<(Frame, Option<u64>)>,
+    held_bytes: usize,
+    /// Bytes ever put out and ever written; marks of frames by the byte at which they begin.
+    put: u64,
+    written: u64,
+    marks: VecDeque<(u64, u64)>,
+    closed: bool,
+}
+
+impl Session {
+    pub fn new(me: Party, now: i64) -> Self {
+        let mut session = Session {
+            codec: LengthDelimitedCodec::builder().max_frame_length(MOST_FRAME).new_codec(),
+            peer: None,
+            inbox: BytesMut::new(),
+            outbox: BytesMut::new(),
+            events: VecDeque::new(),
+            health: Health::new(now, BEAT),
+            told: State::Well,
+            opened_at: now,
+            beat_at: now,
+            seq: 0,
+            seen: 0,
+            credit: 0,
+            taken: 0,
+            granted: WINDOW,
+            held: VecDeque::new(),
+            held_bytes: 0,
+            put: 0,
+            written: 0,
+            marks: VecDeque::new(),
+            closed: false,
+            me,
+        };
+        let me = &session.me;
+        let hello = Hello {
+            version: VERSION,
+            role: me.role as i32,
+            name: me.name.clone(),
+            epoch: me.epoch,
+            link: me.link,
+            credit: WINDOW,
+        };
+        session.put_out(&Body::Hello(hello).into(), None);
+        session
+    }
+
+    /// Bytes that came from the stream. What is no frame of this protocol ends the conversation.
+    pub fn bytes(&mut self, now: i64, bytes: &[u8]) {
+        if self.closed {
+            return;
+        }
+        self.inbox.extend_from_slice(bytes);
+        while !self.closed {
+            match self.codec.decode(&mut self.inbox) {
+                Ok(Some(frame)) => match Frame::decode(&frame[..]) {
+                    Ok(Frame { body: Some(body) }) => self.take(now, body, frame.len() as u64),
+                    Ok(_) => self.refuse(
+                        "a frame of a kind that version 1 does not know; expected one of agent.proto",
+                    ),
+                    Err(e) => self.refuse(&format!(
+                        "{} bytes that are no frame ({e}); expected one of agent.proto",
+                        frame.len()
+                    )),
+                },
+                Ok(None) => return,
+                Err(_) => {
+                    self.refuse(&format!("a frame of over {MOST_FRAME} bytes was announced; expected fewer"))
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, now: i64, body: Body, size: u64) {
+        self.health.heard(now, matches!(body, Body::Heartbeat(_)));
+        match (body, self.peer.is_some()) {
+            (Body::Hello(hello), false) => self.greet(hello),
+            (Body::Hello(_), true) => self.refuse("a second hello; expected one a connection"),
+            (Body::Goodbye(bye), _) => self.close(format!("the peer said goodbye: {}", bye.reason)),
+            (_, false) => self.refuse("a frame before the hello; expected a hello first"),
+            (Body::Heartbeat(beat), _) if beat.seq <= self.seen => {
+                self.refuse(&format!("heartbeat {} after {}; expected a higher number", beat.seq, self.seen));
+            }
+            (Body::Heartbeat(beat), _) => self.seen = beat.seq,
+            (Body::Credit(credit), _) => {
+                self.credit = self.credit.saturating_add(credit.bytes).min(16 * WINDOW);
+                self.release();
+            }
+            (body, _) => {
+                if size > self.granted {
+                    return self
+                        .refuse(&format!("a frame of {size} bytes where {} were granted", self.granted));
+                }
+                self.granted -= size;
+                self.events.push_back((Event::Frame(body), size));
+            }
+        }
+    }
+
+    fn greet(&mut self, hello: Hello) {
+        let role = Role::try_from(hello.role).unwrap_or(Role::Unknown);
+        if hello.version != VERSION {
+            return self.refuse(&format!("hello: version {}; expected {VERSION}", hello.version));
+        }
+        if role == Role::Unknown || hello.name.is_empty() || hello.name.len() > 200 {
+            return self.refuse("hello: no role or no name of 1 to 200 bytes; expected both");
+        }
+        self.credit = hello.credit.min(16 * WINDOW);
+        let peer = Party { role, name: hello.name, epoch: hello.epoch, link: hello.link };
+        self.peer = Some(peer.clone());
+        self.events.push_back((Event::Up(peer), 0));
+        self.release();
+    }
+
+    /// Sends a frame, or keeps it until the peer takes more. A `mark` lets `unsent` name it later.
+    pub fn send(&mut self, body: Body, mark: Option<u64>) -> Result<(), Full> {
+        if self.closed {
+            return Err(Full);
+        }
+        let frame = Frame::from(body);
+        let size = frame.encoded_len();
+        if self.held.is_empty() && self.peer.is_some() && size as u64 <= self.credit {
+            self.credit -= size as u64;
+            self.put_out(&frame, mark);
+        } else if self.held_bytes + size > MOST_HELD {
+            return Err(Full);
+        } else {
+            self.held_bytes += size;
+            self.held.push_back((frame, mark));
+        }
+        Ok(())
+    }
+
+    fn release(&mut self) {
+        while let Some((frame, mark)) = self.held.front() {
+            let size = frame.encoded_len();
+            if self.peer.is_none() || size as u64 > self.credit {
+                return;
+            }
+            self.credit -= size as u64;
+            self.held_bytes -= size;
+            let (frame, mark) = (frame.clone(), *mark);
+            self.held.pop_front();
+            self.put_out(&frame, mark);
+        }
+    }
+
+    fn put_out(&mut self, frame: &Frame, mark: Option<u64>) {
+        if let Some(mark) = mark {
+            self.marks.push_back((self.put, mark));
+        }
+        let size = frame.encoded_len();
+        self.outbox.extend_from_slice(&(size as u32).to_be_bytes());
+        self.outbox.reserve(size);
+        frame.encode(&mut self.outbox).expect("a buffer that grows");
+        self.put += size as u64 + 4;
+    }
+
+    /// The next event. A frame counts as taken in here, so that a caller who does not ask grants nothing.
+    pub fn event(&mut self) -> Option<Event> {
+        let (event, size) = self.events.pop_front()?;
+        self.taken += size;
+        if self.taken >= WINDOW / 4 && !self.closed {
+            self.granted += self.taken;
+            let credit = Credit { bytes: std::mem::take(&mut self.taken) };
+            self.put_out(&Body::Credit(credit).into(), None);
+        }
+        Some(event)
+    }
+
+    /// Bytes to be written to the stream; `wrote` takes away those that were.
+    pub fn to_write(&self) -> &[u8] {
+        &self.outbox
+    }
+
+    pub fn wrote(&mut self, bytes: usize) {
+        self.outbox.advance(bytes);
+        self.written += bytes as u64;
+        while self.marks.front().is_some_and(|&(at, _)| at < self.written) {
+            self.marks.pop_front();
+        }
+    }
+
+    /// Lets time pass: heartbeats go out, silence is judged.
+    pub fn tick(&mut self, now: i64) {
+        if self.closed {
+            return;
+        }
+        if self.peer.is_none() {
+            if now >= self.opened_at + HELLO_WITHIN {
+                self.refuse("no hello came in time");
+            }
+            return;
+        }
+        if now >= self.beat_at {
+            self.seq += 1;
+            let beat = Heartbeat { seq: self.seq, seen: self.seen };
+            self.put_out(&Body::Heartbeat(beat).into(), None);
+            // By the clock, not after the last one; beats that were missed are not made up.
+            self.beat_at = (self.beat_at + BEAT).max(now + BEAT / 2);
+        }
+        let state = self.health.judge(now);
+        if state == State::Lost {
+            self.close(format!("nothing heard for {} ms", self.health.lost_after() / 1000));
+        } else if state != self.told {
+            self.told = state;
+            self.events.push_back((Event::Health(state), 0));
+        }
+    }
+
+    /// The time at which `tick` has something to do.
+    pub fn next_tick(&self) -> i64 {
+        match self.peer {
+            None => self.opened_at + HELLO_WITHIN,
+            Some(_) => self.beat_at.min(self.health.next_at()),
+        }
+    }
+
+    /// Ends the conversation from this side, with a word of goodbye.
+    pub fn goodbye(&mut self, reason: &str) {
+        if !self.closed {
+            self.put_out(&Body::Goodbye(Goodbye { reason: reason.to_owned() }).into(), None);
+            self.close(reason.to_owned());
+        }
+    }
+
+    fn refuse(&mut self, what: &str) {
+        let peer = self.peer.as_ref().map_or("a peer without hello", |p| p.name.as_str());
+        self.goodbye(&format!("{peer}: {what}"));
+    }
+
+    /// The stream ended.
+    pub fn cut(&mut self, why: &str) {
+        self.close(why.to_owned());
+    }
+
+    fn close(&mut self, why: String) {
+        if !self.closed {
+            self.closed = true;
+            self.events.push_back((Event::Closed(why), 0));
+        }
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.closed
+    }
+
+    /// Marks of frames of which no byte was handed to the stream.
+    pub fn unsent(&self) -> Vec<u64> {
+        let put = self.marks.iter().filter(|(at, _)| *at >= self.written).map(|&(_, mark)| mark);
+        put.chain(self.held.iter().filter_map(|(_, mark)| *mark)).collect()
+    }
+}
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -2,42 +2,13 @@
 //! calls the planner's method for that event, and writes its calls back. It decides nothing.
 use basaltpitch::host::{Given, Host, Outcome, Readiness, Value as Setting};
 use basaltpitch::logic::Planner;
+use basaltpitch_indices::{number_of, Door};
 use serde_json::Value;
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::io::{BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
-/// Ids of one sort and the small indices they were given; freed indices are handed out again.
-#[derive(Default)]
-struct Door<K> {
-    index: HashMap<K, usize>,
-    ids: Vec<K>,
-    free: Vec<usize>,
-}
-
-impl<K: Clone + Eq + std::hash::Hash> Door<K> {
-    fn enter(&mut self, id: K) -> usize {
-        if let Some(&at) = self.index.get(&id) {
-            return at;
-        }
-        let at = self.free.pop().unwrap_or(self.ids.len());
-        if at == self.ids.len() {
-            self.ids.push(id.clone());
-        } else {
-            self.ids[at] = id.clone();
-        }
-        self.index.insert(id, at);
-        at
-    }
-
-    fn leave(&mut self, at: usize) {
-        if self.index.remove(&self.ids[at]).is_some() {
-            self.free.push(at);
-        }
-    }
-}
-
 /// One planner's side of the wire: its ids, and the lines it wants written.
 #[derive(Default)]
 struct Line {
@@ -59,11 +30,11 @@
 
     fn for_task(&mut self, action: &str, task: usize) {
         self.put(action);
-        let _ = write!(self.text, ",\"opId\":\"{}\"", self.tasks.ids[task]);
+        let _ = write!(self.text, ",\"opId\":\"{}\"", self.tasks.id(task));
     }
 
     fn for_machine(&mut self, machine: usize) {
-        let name = Value::from(self.machines.ids[machine].as_str());
+        let name = Value::from(self.machines.id(machine).as_str());
         let _ = write!(self.text, ",\"machine\":{name}");
     }
 
@@ -255,12 +226,6 @@
     items.iter().map(name).collect()
 }
 
-/// A number for an id that is a word (FNV-1a), the same in every process.
-fn number_of(id: &str) -> u64 {
-    let fold = |n: u64, byte| (n ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    id.bytes().fold(0xcbf2_9ce4_8422_2325, fold)
-}
-
 #[derive(Default)]
 struct Wire {
     now: i64,
@@ -363,7 +328,7 @@
                 let started = e.opt("startedAtUs", Value::as_i64)?.unwrap_or(0);
                 let left = |name| Ok::<f64, String>(e.opt(name, Value::as_f64)?.unwrap_or(0.0));
                 let left = (left("cpuLeft")?, left("memLeft")?);
-                p.machine_number(machine, number_of(&p.host.machines.ids[machine]));
+                p.machine_number(machine, number_of(p.host.machines.id(machine)));
                 p.machine_listed(machine, (kind, zone, cell), readiness, started, left);
             }
             p.list_ends();
@@ -388,13 +353,13 @@
             }
         }
         "expired" => {
-            if let Some(&task) = p.host.tasks.index.get(&f.text("opId")?) {
+            if let Some(task) = p.host.tasks.find(&f.text("opId")?) {
                 p.expired(task);
                 p.host.close(task);
             }
         }
         "accepted" | "interim" | "resolved" => {
-            let task = *p.host.tasks.index.get(&f.text("opId")?).ok_or("field 'opId' names no open task")?;
+            let task = p.host.tasks.find(&f.text("opId")?).ok_or("field 'opId' names no open task")?;
             match kind {
                 "accepted" => p.accepted(task),
                 "interim" => p.noted(task, f.whole("sort")?, f.number("level")?),
--- a/src/host.rs
+++ b/src/host.rs
@@ -53,6 +53,27 @@
     Gone,
 }
 
+/// What a planner believes of a machine, for operators: nothing is decided from it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Belief {
+    pub listed: bool,
+    pub cores: f64,
+    pub memory: f64,
+    /// The paper's C and B, and UCaC = C + D x root of B: cores used at confidence.
+    pub c: f64,
+    pub b: f64,
+    pub ucac: f64,
+    pub used_memory: f64,
+    /// Own launches and tasks without an outcome.
+    pub held: usize,
+    /// Clock times in microseconds, 0 where there was none: last report, cold until, barred until.
+    pub report_at: i64,
+    pub cold_until: i64,
+    pub shun_until: i64,
+    /// Whether the cold budget lets this planner launch here now.
+    pub may_launch: bool,
+}
+
 /// What the planner can do. Each call takes effect at the time of the event being handled.
 pub trait Host {
     /// Offers the task to the machine; launches of a task count 0, 1, 2 ...
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! `Host`, then calls one method for each thing that happens: list, task, launch, note, probe, timer.
 //! The planner acts by calling the host at once. The interface is in `host.rs`, the why in `docs/design.md`.
 #![allow(clippy::too_many_arguments)]
-use crate::host::{number, text, Given, Host, Outcome, Place, Readiness, Room};
+use crate::host::{number, text, Belief, Given, Host, Outcome, Place, Readiness, Room};
 
 /// Confidence 99%: the standard normal quantile (the paper's D; DESIGN runs 99.9% and 99%).
 const D: f64 = 2.326;
@@ -248,6 +248,23 @@
         self.service_numbers.resize(known, number);
     }
 
+    /// Nothing runs of a service any more and its index goes to another: what was learnt of it leaves.
+    pub fn service_left(&mut self, s: usize) {
+        self.uses[s] = Use::START;
+    }
+
+    /// A machine that is gone and holds no launch leaves its index.
+    pub fn machine_left(&mut self, m: usize) {
+        let (mac, none) = (&mut self.mac, Vec::new);
+        (mac.listed[m], mac.place[m], mac.held[m], mac.sends[m]) = (false, (0, 0, 0), none(), Vec::new());
+        (mac.view[m], mac.asked_then[m]) = ((0.0, 0.0), (0.0, 0.0));
+        for times in [&mut mac.started, &mut mac.report_at, &mut mac.view_at, &mut mac.cold_until] {
+            times[m] = 0;
+        }
+        (mac.shun_until[m], mac.probed_at[m]) = (0, 0);
+        (mac.used_cores[m], mac.used_memory[m]) = (0.0, 0.0);
+    }
+
     pub fn list_ends(&mut self) {
         self.probe_round();
         self.serve_waiting();
@@ -718,6 +735,25 @@
         (used + more, b + (used - known).max(0.0) * ratio, memory + later.1, later)
     }
 
+    pub fn belief(&self, m: usize) -> Belief {
+        let (c, b, used_memory, _) = self.load(m, self.spread_ratio());
+        let mac = &self.mac;
+        Belief {
+            listed: mac.listed[m],
+            cores: mac.cores[m],
+            memory: mac.memory[m],
+            c,
+            b,
+            ucac: c + D * b.sqrt(),
+            used_memory,
+            held: mac.held[m].len(),
+            report_at: mac.report_at[m],
+            cold_until: mac.cold_until[m],
+            shun_until: mac.shun_until[m],
+            may_launch: self.cold_budget_allows(m),
+        }
+    }
+
     /// Cores and memory asked of a machine, as the list shows it.
     fn asked(&self, m: usize) -> Room {
         let mac = &self.mac;
