--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -3,6 +3,7 @@
 //! `link` carries a session over a stream on tokio. The frames are published in `proto/agent.proto`.
 pub mod dial;
 pub mod health;
+pub mod holder;
 pub mod link;
 pub mod session;
 
--- /dev/null
+++ b/records/tests/records.rs
@@ -0,0 +1,128 @@
+//! What the reader of records says, good and bad, as an operator sees it.
+use basaltpitch_records::installation::{load_texts, Laid, Seat};
+use expect_test::expect;
+
+const GOOD: &str = r#"
+zones: ["hall-a", "hall-b"]
+kinds: [{name: "std", cores: 32, memory: 64GiB}]
+frameworks: [
+	{name: "small", repeat: "repeatable", goal: 600ms, limit: 6s},
+	{name: "big", repeat: "keyed", group: "zone", window: 6s, goal: 5s, limit: 9s, value: 5, priority: 2},
+]
+"#;
+
+fn faults(texts: &[(&str, &str)]) -> String {
+    match load_texts(texts) {
+        Ok(_) => "none\n".into(),
+        Err((sources, faults)) => faults.iter().map(|f| f.line(&sources) + "\n").collect(),
+    }
+}
+
+fn with(more: &str) -> String {
+    faults(&[("a.rec", GOOD), ("b.rec", more)])
+}
+
+#[test]
+fn several_files_become_one_and_lay_out_under_dotted_names() {
+    let more =
+        "rules: cold: 20s\nplanners: 3\ntenants: [{name: \"x\", share: 40%}, {name: \"y\", share: 0.6}]";
+    let all = load_texts(&[("a.rec", GOOD), ("b.rec", more)]).unwrap();
+    let laid = all.lay_out(&Seat { number: 2, planners: 3, zone: "hall-b".into() });
+    let get = |name: &str| laid.iter().find(|x| x.0 == name).map(|x| x.1.clone());
+    assert_eq!(get("rules.coldUs"), Some(Laid::Number(20e6)));
+    assert_eq!(get("classes.1.windowUs"), Some(Laid::Number(6e6)));
+    assert_eq!(get("classes.1.semantics"), Some(Laid::Text("dedup".into())));
+    assert_eq!(get("familyInfo.sizeMemory.0"), Some(Laid::Number(64.0)));
+    assert_eq!(get("familyInfo.coldSends"), Some(Laid::Number(8.0)), "a default");
+    assert_eq!(get("tenants.1.name"), Some(Laid::Text("y".into())));
+    assert_eq!(get("myZone"), Some(Laid::Text("hall-b".into())));
+}
+
+#[test]
+fn types_bounds_and_closed_records() {
+    expect![[r#"
+        b.rec:1:14: rules.cold: found "soon"; expected 14s or a time such as 600ms at least 0s
+          built-in types:48:16: this is what it was to be unified with
+    "#]]
+    .assert_eq(&with("rules: cold: \"soon\""));
+    expect![[r#"
+        b.rec:1:17: launches.most: found 40; expected 3 or a whole number at least 1 and at most 16
+          built-in types:55:12: this is what it was to be unified with
+    "#]]
+    .assert_eq(&with("launches: most: 40"));
+    expect![[r#"
+        b.rec:1:14: found field rules.cald; expected one of drain_grace, answer_grace, cold, cold_offers, cold_window, settle
+          built-in types:42:9: the record is closed here
+    "#]]
+    .assert_eq(&with("rules: cald: 3s"));
+}
+
+#[test]
+fn a_conflict_names_both_sides() {
+    expect![[r#"
+        b.rec:1:9: zones[0]: found "hall-c"; expected "hall-a"
+          a.rec:2:9: this is what it was to be unified with
+    "#]]
+    .assert_eq(&with("zones: [\"hall-c\"]"));
+    let text = faults(&[("a.rec", GOOD), ("b.rec", "planners: 2"), ("c.rec", "\nplanners: 3")]);
+    expect![[r#"
+        c.rec:2:11: planners: found 3; expected 2
+          b.rec:1:11: this is what it was to be unified with
+    "#]]
+    .assert_eq(&text);
+}
+
+#[test]
+fn what_does_not_parse_is_named_with_its_place() {
+    expect![[r#"
+        b.rec:2:8: found }; expected a value or a type
+    "#]]
+    .assert_eq(&with("rules: {\n cold: }"));
+    expect![[r#"
+        b.rec:1:14: found 3parsec; expected a unit of us, ms, s, m, h, KiB, MiB, GiB, TiB or %
+    "#]]
+    .assert_eq(&with("rules: cold: 3parsec"));
+    expect![[r#"
+        b.rec:1:14: found the end of the file; expected a field or '}'
+    "#]]
+    .assert_eq(&with("rules: cold:{"));
+    let deep = format!("rules: cold: {}", "[".repeat(5000));
+    assert!(with(&deep).contains("at most 64 levels"));
+}
+
+#[test]
+fn what_types_alone_do_not_find() {
+    let late = r#"
+zones: ["a", "a"]
+kinds: [{name: "std", cores: 32, memory: 64}]
+tenants: [{name: "x", share: 0.7}, {name: "y", share: 0.7}]
+frameworks: [
+	{name: "big", repeat: "keyed", window: 100ms, goal: 5s, limit: 4s, kind: "huge"},
+	{name: "one", repeat: "once-only", window: 1s, goal: 100ms, limit: 400ms},
+]
+"#;
+    expect![[r#"
+        a.rec:2:14: zones: found "a" twice; expected each name once
+          a.rec:2:9: the first
+        a.rec:6:54: big: found a latency goal of 5000000 us over the time limit; expected at most 4000000 us
+          a.rec:6:65: the time limit
+        a.rec:6:41: big: found a window of 100000 us; expected over 250000 us, the time that a connection may take
+        a.rec:6:75: big: found kind "huge"; expected one of std
+        a.rec:7:69: one: found a time limit of 400000 us; expected over 500000 us, a connection's time there and back
+        a.rec:7:45: one: found a window; expected none, as only keyed tasks are known by a mark
+          a.rec:7:24: how often it may run
+        a.rec:4:10: tenants: found shares that add up to 1.4; expected 1
+    "#]]
+    .assert_eq(&faults(&[("a.rec", late)]));
+}
+
+#[test]
+fn what_is_missing_is_named() {
+    expect![[r#"
+        a.rec:2:14: frameworks[0].goal is not given; expected a time such as 600ms above 0s
+          built-in types:8:12: its type stands here
+        a.rec:2:14: frameworks[0].limit is not given; expected a time such as 600ms above 0s
+          built-in types:9:12: its type stands here
+    "#]]
+    .assert_eq(&faults(&[("a.rec", "zones: [\"a\"] kinds: [{name: \"s\", cores: 1, memory: 1}]\nframeworks: [{name: \"x\", repeat: \"repeatable\"}]")]));
+}
