Planner core and service: module, ledger, links and timers on one LocalSet

Need: the decisions on sockets. Change: core is one planner without I/O (frames and time in, frames out), service puts it on tokio with bounded queues, machines heard before owners; standing says which machine is offered work; everything told to the module can be recorded and replayed. Measured: nothing yet; it builds, and its pure parts' tests pass.

--- a/agent/src/dial.rs
+++ b/agent/src/dial.rs
@@ -53,10 +53,10 @@
 
     /// A peer that is wanted from now on; nothing changes if it is already.
     pub fn want(&mut self, peer: usize, now: i64) {
-        if !self.peers.contains_key(&peer) {
-            self.peers.insert(peer, Peer { due: Some(now), ..Peer::default() });
+        self.peers.entry(peer).or_insert_with(|| {
             self.line.insert((now, peer));
-        }
+            Peer { due: Some(now), ..Peer::default() }
+        });
     }
 
     /// A peer that is wanted no more.
--- a/agent/src/holder.rs
+++ b/agent/src/holder.rs
@@ -38,6 +38,9 @@
     launches: BTreeMap<Id, (State, D)>,
 }
 
+/// Endings that were not noted, and what is held.
+pub type Inventory<D> = (Vec<(Id, Say)>, Vec<(Id, State, D)>);
+
 /// What a machine holds, by planner. `P` names planners, `D` is what came with a launch.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Holder<P, D> {
@@ -142,7 +145,7 @@
     }
 
     /// What a new link begins with: endings that were not noted, to be said first, then all that is held.
-    pub fn inventory(&self, planner: &P) -> (Vec<(Id, Say)>, Vec<(Id, State, D)>) {
+    pub fn inventory(&self, planner: &P) -> Inventory<D> {
         let (mut endings, mut held) = (Vec::new(), Vec::new());
         for (&id, (state, with)) in self.sides.get(planner).iter().flat_map(|s| &s.launches) {
             match state {
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -206,6 +206,8 @@
     on_machine: BTreeSet<(usize, Launch)>,
     slots: Vec<Option<Slot<K>>>,
     free: BTreeSet<usize>,
+    /// Indices that the module needs no more once it has heard all acts so far.
+    leaving: Vec<usize>,
     /// Records that were answered or are over, the oldest first.
     closed: VecDeque<(i64, K)>,
     open: usize,
@@ -223,6 +225,7 @@
             on_machine: BTreeSet::new(),
             slots: Vec::new(),
             free: BTreeSet::new(),
+            leaving: Vec::new(),
             closed: VecDeque::new(),
             open: 0,
         }
@@ -345,8 +348,7 @@
         match record.phase {
             Phase::Waiting | Phase::Out => self.drop_open(key, Phase::Over(Life::Stopped), acts),
             Phase::Placed => {
-                record.phase = Phase::Over(Life::Stopped);
-                record.closed_at = now;
+                record.close(Phase::Over(Life::Stopped), record.answer, now);
                 self.closed.push_back((now, key.clone()));
                 self.stop_held(key, acts);
             }
@@ -361,21 +363,22 @@
 
     // The placing module's calls.
 
-    /// The module launches a task. Gives the launch its number.
-    pub fn launched(
-        &mut self,
-        task: usize,
-        machine: usize,
-        time_out_us: i64,
-        acts: &mut Vec<Act<K>>,
-    ) -> Launch {
-        self.next += 1;
-        let launch = Launch { epoch: self.epoch, number: self.next };
+    /// The module launches a task. A task that ended in the same moment, of which the module has not heard yet,
+    /// is not launched: it hears that instead.
+    pub fn launched(&mut self, task: usize, machine: usize, time_out_us: i64, acts: &mut Vec<Act<K>>) {
         let slot = self.slots[task].as_mut().expect("the module launches tasks it was told of");
-        slot.awaits = true;
         let key = slot.key.clone();
         let record = self.records.get_mut(&key).expect("a slot has a record");
+        if record.task != Some(task) || record.phase != Phase::Waiting {
+            let outcome = Outcome::Moot;
+            acts.push(Act::Resolved { task, outcome, why: 0, over: true });
+            slot.over = true;
+            return self.free_slot(task);
+        }
         debug_assert!(record.copies.iter().all(|c| c.state != CopyState::Out), "one launch out at a time");
+        slot.awaits = true;
+        self.next += 1;
+        let launch = Launch { epoch: self.epoch, number: self.next };
         record.phase = Phase::Out;
         record.launches += 1;
         record.copies.push(Copy {
@@ -388,7 +391,6 @@
         self.launches.insert(launch, key.clone());
         self.on_machine.insert((machine, launch));
         acts.push(Act::Launch { key, launch, machine, time_out_us });
-        launch
     }
 
     /// The module's final answer without a place.
@@ -418,12 +420,13 @@
     pub fn moved(&mut self, task: usize, acts: &mut Vec<Act<K>>) {
         let Some(key) = self.key_of(task).cloned() else { return };
         let now = self.now;
-        if let Some(record) = self.records.get_mut(&key).filter(|r| r.phase == Phase::Placed) {
+        let record = self.records.get_mut(&key).expect("a slot has a record");
+        if record.phase == Phase::Placed && record.task == Some(task) {
             record.close(Phase::Over(Life::Moved), record.answer, now);
             acts.push(Act::Life { key: key.clone(), ask: record.ask, owner: record.owner, how: Life::Moved });
             self.closed.push_back((now, key.clone()));
+            self.stop_held(&key, acts);
         }
-        self.stop_held(&key, acts);
     }
 
     // Machines.
@@ -488,8 +491,9 @@
     }
 
     /// A machine tried to start a launch and failed.
-    pub fn failed(&mut self, launch: Launch, acts: &mut Vec<Act<K>>) {
+    pub fn failed(&mut self, launch: Launch, machine: usize, acts: &mut Vec<Act<K>>) {
         self.gone(launch, Seen::Failed, Outcome::Error, 0, acts);
+        acts.push(Act::Noted { launch, machine });
     }
 
     /// A copy ended on its machine, which keeps saying so until it is noted.
@@ -732,34 +736,46 @@
     /// The module needs an index no more once the task is over for it and no launch of it lacks an outcome.
     fn free_slot(&mut self, task: usize) {
         if self.slots[task].as_ref().is_some_and(|s| s.over && !s.awaits) {
+            self.leaving.push(task);
+        }
+    }
+
+    /// To be called when the module has heard every act so far: indices that it needs no more leave, and are
+    /// named. Until then a call of the module for one of them still finds it, so that it can be turned off.
+    pub fn settled(&mut self) -> Vec<usize> {
+        let mut left = std::mem::take(&mut self.leaving);
+        left.retain(|&task| self.slots[task].as_ref().is_some_and(|s| s.over && !s.awaits));
+        left.sort_unstable();
+        left.dedup();
+        for &task in &left {
             self.slots[task] = None;
             self.free.insert(task);
         }
+        left
     }
 
     /// Forgets answered records by age and by count. A record with a copy anywhere stays. Returns how many left.
     pub fn forget(&mut self) -> usize {
         let mut left = 0;
-        while let Some((at, _)) = self.closed.front() {
+        for _ in 0..self.closed.len() {
+            let Some((at, _)) = self.closed.front() else { break };
             let old = *at + self.promises.keep_us <= self.now;
             if !old && self.closed.len() <= self.promises.keep {
                 break;
             }
             let (at, key) = self.closed.pop_front().expect("it has a front");
-            let Some(record) = self.records.get(&key) else { continue };
+            let now = self.now;
+            let Some(record) = self.records.get_mut(&key) else { continue };
             if record.closed_at != at || record.phase.is_open() || record.phase == Phase::Placed {
                 continue;
             }
-            if !record.copies.is_empty() && old {
-                // Still in doubt: looked at again later.
-                let again = self.now;
-                self.records.get_mut(&key).expect("it was there").closed_at = again;
-                self.closed.push_back((again, key));
-                continue;
-            }
             if record.copies.is_empty() {
                 self.records.remove(&key);
                 left += 1;
+            } else {
+                // Still in doubt: looked at again later.
+                record.closed_at = now;
+                self.closed.push_back((now, key));
             }
         }
         left
--- /dev/null
+++ b/planner/src/recording.rs
@@ -0,0 +1,221 @@
+//! A recording: everything that the placing module was told, and every call that it made. Text, a line each:
+//!
+//! ```text
+//! # basaltpitch recording 1
+//! {"seed":7,"now":10,"given":{...}}         how the module was started
+//! > watch true                               a call
+//! {"at":20,"told":{"timer":{"token":0}}}     what it was told, and when
+//! ```
+//!
+//! `replay` tells a new module the same and compares its calls, line by line.
+use crate::hands::Words;
+use crate::told::Told;
+use basaltpitch::host::{Given, Host, Value};
+use basaltpitch::logic::Planner;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::io::{BufRead, Write};
+use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
+
+const FIRST: &str = "# basaltpitch recording 1";
+/// Pieces that may wait for the disk.
+const MOST_WAITING: usize = 4096;
+
+#[derive(Serialize, Deserialize)]
+struct Start {
+    seed: u64,
+    now: i64,
+    given: BTreeMap<String, Plain>,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Plain {
+    Number(f64),
+    Text(String),
+}
+
+#[derive(Serialize, Deserialize)]
+struct Line {
+    at: i64,
+    told: Told,
+}
+
+/// Writes a recording beside the planner's thread. When the disk is full or too slow the recording ends with one
+/// error, and the planner serves on: a recording with a gap would replay nothing.
+pub struct Recorder {
+    pieces: Option<SyncSender<String>>,
+    piece: String,
+}
+
+impl Recorder {
+    pub fn start(mut out: impl Write + Send + 'static, seed: u64, now: i64, given: &Given) -> Self {
+        let given = given.iter().map(|(name, value)| {
+            let value = match value {
+                Value::Number(n) => Plain::Number(*n),
+                Value::Text(t) => Plain::Text(t.clone()),
+            };
+            (name.clone(), value)
+        });
+        let start = Start { seed, now, given: given.collect() };
+        let head = format!("{FIRST}\n{}\n", serde_json::to_string(&start).expect("plain values"));
+        let (pieces, inbox) = sync_channel::<String>(MOST_WAITING);
+        std::thread::spawn(move || {
+            let mut write = |piece: &str| out.write_all(piece.as_bytes()).and_then(|()| out.flush());
+            let mut wrote = write(&head);
+            while let (Ok(()), Ok(mut piece)) = (&wrote, inbox.recv()) {
+                inbox.try_iter().for_each(|more| piece.push_str(&more));
+                wrote = write(&piece);
+            }
+            if let Err(e) = wrote {
+                tracing::error!(error = %e, "the recording ended: it cannot be written; the planner serves on");
+            }
+        });
+        Recorder { pieces: Some(pieces), piece: String::new() }
+    }
+
+    /// What the module is about to be told.
+    pub fn told(&mut self, at: i64, told: &Told) {
+        if self.pieces.is_some() {
+            let line = serde_json::to_string(&Line { at, told: told.clone() }).expect("plain values");
+            self.piece.push_str(&line);
+            self.piece.push('\n');
+        }
+    }
+
+    /// The calls that the module made since.
+    pub fn calls(&mut self, calls: &mut String) {
+        self.piece.push_str(calls);
+        calls.clear();
+        if self.piece.len() >= 16 * 1024 {
+            self.flush();
+        }
+    }
+
+    pub fn flush(&mut self) {
+        let piece = std::mem::take(&mut self.piece);
+        if piece.is_empty() {
+            return;
+        }
+        match self.pieces.as_ref().map(|pieces| pieces.try_send(piece)) {
+            Some(Err(TrySendError::Full(_))) => {
+                tracing::error!("the recording ended: the disk is too slow; the planner serves on");
+                self.pieces = None;
+            }
+            Some(Err(TrySendError::Disconnected(_))) => self.pieces = None,
+            _ => {}
+        }
+    }
+}
+
+impl Drop for Recorder {
+    fn drop(&mut self) {
+        self.flush();
+    }
+}
+
+/// What a replay found.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Replayed {
+    /// Every call was the same: so many things told, so many calls.
+    Same { told: usize, calls: usize },
+    /// The first call that differs, with its line in the file; empty where there was none.
+    Differs { line: usize, recorded: String, now: String },
+}
+
+#[derive(Default)]
+struct Echo {
+    text: String,
+}
+
+impl Host for Echo {
+    fn launch(&mut self, task: usize, machine: usize, time_out_us: i64) {
+        Words(&mut self.text).launch(task, machine, time_out_us);
+    }
+    fn cancel(&mut self, task: usize, launch: u32) {
+        Words(&mut self.text).cancel(task, launch);
+    }
+    fn decline(&mut self, task: usize, retry_after_us: i64) {
+        Words(&mut self.text).decline(task, retry_after_us);
+    }
+    fn abort(&mut self, task: usize) {
+        Words(&mut self.text).abort(task);
+    }
+    fn move_task(&mut self, task: usize) {
+        Words(&mut self.text).move_task(task);
+    }
+    fn probe(&mut self, machine: usize) {
+        Words(&mut self.text).probe(machine);
+    }
+    fn watch(&mut self, on: bool) {
+        Words(&mut self.text).watch(on);
+    }
+    fn fetch(&mut self) {
+        Words(&mut self.text).fetch();
+    }
+    fn timer(&mut self, after_us: i64, token: u64) {
+        Words(&mut self.text).timer(after_us, token);
+    }
+    fn log(&mut self, text: &str) {
+        Words(&mut self.text).log(text);
+    }
+}
+
+/// Tells a new module what a recording holds and compares its calls. An error names the line, what was found
+/// and what was expected. A last line that was cut off by a sudden end is passed over.
+pub fn replay(file: impl BufRead) -> Result<Replayed, String> {
+    let mut lines = file.lines().enumerate().map(|(i, l)| (i + 1, l)).peekable();
+    let mut next = |expected: &str| match lines.next() {
+        Some((n, Ok(text))) => Ok((n, text)),
+        Some((n, Err(e))) => Err(format!("line {n}: found {e}; expected {expected}")),
+        None => Err(format!("found the end of the file; expected {expected}")),
+    };
+    let (_, first) = next(FIRST)?;
+    if first != FIRST {
+        return Err(format!("line 1: found {first:?}; expected {FIRST:?}"));
+    }
+    let (_, start) = next("how the module was started")?;
+    let start: Start = serde_json::from_str(&start)
+        .map_err(|e| format!("line 2: found {e}; expected seed, now and given in JSON"))?;
+    let given = start.given.into_iter().map(|(name, value)| {
+        let value = match value {
+            Plain::Number(n) => Value::Number(n),
+            Plain::Text(t) => Value::Text(t),
+        };
+        (name, value)
+    });
+    let mut planner = Planner::new(Echo::default(), start.seed, start.now, given.collect());
+    let (mut told, mut calls) = (0, 0);
+    let mut due: std::collections::VecDeque<String> =
+        std::mem::take(&mut planner.host.text).lines().map(str::to_owned).collect();
+    while let Some((n, line)) = lines.next() {
+        let line = line.map_err(|e| format!("line {n}: {e}"))?;
+        if line.starts_with("> ") {
+            let now = due.pop_front().unwrap_or_default();
+            if now != line {
+                // The end of a file that was being written when the planner was killed.
+                if lines.peek().is_none() && now.starts_with(&line) {
+                    break;
+                }
+                return Ok(Replayed::Differs { line: n, recorded: line, now });
+            }
+            calls += 1;
+            continue;
+        }
+        if let Some(now) = due.pop_front() {
+            return Ok(Replayed::Differs { line: n, recorded: String::new(), now });
+        }
+        let parsed: Line = match serde_json::from_str(&line) {
+            Ok(parsed) => parsed,
+            Err(_) if lines.peek().is_none() => break,
+            Err(e) => {
+                return Err(format!("line {n}: found {e}; expected what the module was told, or a call"))
+            }
+        };
+        planner.clock(parsed.at);
+        parsed.told.tell(&mut planner).map_err(|e| format!("line {n}: found {e}"))?;
+        told += 1;
+        due.extend(std::mem::take(&mut planner.host.text).lines().map(str::to_owned));
+    }
+    Ok(Replayed::Same { told, calls })
+}
--- /dev/null
+++ b/planner/src/view.rs
@@ -0,0 +1,101 @@
+//! What a planner tells operators, as JSON.
+use crate::core::{kind_words, Core};
+use basaltpitch::host::Readiness;
+use basaltpitch_ledger::{CopyState, Phase};
+use serde_json::{json, Value};
+
+/// Rows that one answer holds at the most.
+const MOST_ROWS: usize = 1000;
+
+fn rounded(x: f64) -> f64 {
+    (x * 1000.0).round() / 1000.0
+}
+
+/// Answers a question: `planner`, `machines`, `tasks` (all open and placed ones) or `task` about one key.
+pub fn answer(core: &Core, what: &str, about: &str) -> Result<String, String> {
+    let value = match what {
+        "planner" => planner(core),
+        "machines" => machines(core),
+        "tasks" => tasks(core, None),
+        "task" => match tasks(core, Some(about)) {
+            Value::Array(rows) if rows.is_empty() => {
+                return Err(format!("task: found {about:?}; expected a key that is known here"))
+            }
+            rows => rows,
+        },
+        _ => return Err(format!("query: found {what:?}; expected planner, machines, tasks or task")),
+    };
+    Ok(value.to_string())
+}
+
+fn planner(core: &Core) -> Value {
+    json!({
+        "name": core.who.name,
+        "epoch": core.who.epoch,
+        "watches_list": core.is_watching(),
+        "open": core.ledger().open(),
+        "counts": core.counts,
+    })
+}
+
+fn machines(core: &Core) -> Value {
+    let now = core.clock_now();
+    let ms = |at: i64| if at > 0 { json!((now - at) / 1000) } else { Value::Null };
+    let left = |until: i64| ((until - now).max(0)) / 1000;
+    let rows = core.machines().take(MOST_ROWS).map(|(m, s, b)| {
+        let ready = match s.readiness() {
+            Readiness::Ready => "ready",
+            Readiness::Draining => "held back",
+            Readiness::Gone => "gone",
+        };
+        json!({
+            "machine": core.machine_name(m),
+            "state": ready,
+            "link": s.link.words(),
+            "drains": s.drains || s.listed == Some(Readiness::Draining),
+            "cores": b.cores, "memory": b.memory,
+            "c": rounded(b.c), "b": rounded(b.b), "ucac": rounded(b.ucac),
+            "used_memory": rounded(b.used_memory),
+            "own": b.held,
+            "report_ms_ago": ms(b.report_at),
+            "cold_ms": left(b.cold_until),
+            "barred_ms": left(b.shun_until),
+            "cold_budget_left": b.may_launch,
+        })
+    });
+    rows.collect()
+}
+
+fn tasks(core: &Core, one: Option<&str>) -> Value {
+    let shown = |phase: Phase| phase.is_open() || phase == Phase::Placed;
+    let rows = core.ledger().records().filter(|(key, r)| one.map_or(shown(r.phase), |k| &***key == k));
+    let rows = rows.take(MOST_ROWS).map(|(key, r)| {
+        let state = match r.phase {
+            Phase::Waiting => "waiting".to_owned(),
+            Phase::Out => "launched".to_owned(),
+            Phase::Placed => "placed".to_owned(),
+            Phase::Answered => "answered".to_owned(),
+            Phase::Over(how) => format!("over: {how:?}").to_lowercase(),
+        };
+        let copies = r.copies.iter().map(|c| {
+            let state = match c.state {
+                CopyState::Out => "out",
+                CopyState::Doubt => "in doubt",
+                CopyState::Held => "held",
+                CopyState::Stopping => "stopping",
+            };
+            json!({"machine": core.machine_name(c.machine), "launch": c.launch.number, "epoch": c.launch.epoch, "state": state})
+        });
+        json!({
+            "key": &**key,
+            "ask": r.ask,
+            "kind": kind_words(r.kind),
+            "framework": core.framework_name(r.job.framework),
+            "cores": r.job.cores, "memory": r.job.memory, "service": r.job.service,
+            "state": state,
+            "launches": r.launches,
+            "copies": copies.collect::<Vec<_>>(),
+        })
+    });
+    rows.collect()
+}
