--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -2,6 +2,7 @@
 //! `session` is the conversation without I/O, `health` judges silence, `dial` says when to connect again,
 //! `link` carries a session over a stream on tokio. The frames are published in `proto/agent.proto`.
 pub mod dial;
+pub mod framing;
 pub mod health;
 pub mod holder;
 pub mod link;
--- a/audit/src/lib.rs
+++ b/audit/src/lib.rs
@@ -1,1 +1,538 @@
+//! The auditor: judges the five rules from the traffic that machines, the register and owners saw, never from a
+//! planner's own words. It shares no rule code with the planner. Times are whole microseconds of one clock, that of
+//! the process in which all stand-ins live; a frame counts from when its last byte was read, or written.
+use basaltpitch_agent::wire::{AnswerKind, Body, Launch, List, Readiness, Submit};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, HashSet};
 
+/// A planner's life: name and epoch.
+pub type Life = (String, u64);
+
+/// What the traffic is judged by.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub answer_grace: i64,
+    pub drain_grace: i64,
+    pub cold: i64,
+    pub cold_window: i64,
+    pub cold_offers: usize,
+    /// Frames on two sockets can be seen in another order than they were sent in, by this much.
+    pub slack: i64,
+    pub frameworks: HashMap<String, Framework>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Framework {
+    /// repeatable, keyed or once-only
+    pub kind: String,
+    /// keyed: all, zone or cell
+    pub group: String,
+    pub window: i64,
+    /// none, machine, cell or zone
+    pub spread: String,
+    pub most: usize,
+}
+
+/// Where a machine is.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Spot {
+    pub zone: String,
+    pub cell: u32,
+}
+
+/// A rule that was not kept: which task, when, and the frames that show it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Breach {
+    pub rule: u8,
+    pub at: i64,
+    pub planner: String,
+    pub about: String,
+    pub what: String,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Tally {
+    pub asks: usize,
+    pub placed: usize,
+    pub declined: usize,
+    pub aborted: usize,
+    /// Asks whose planner died, whose connection broke or whose owner withdrew: no answer is owed.
+    pub excused: usize,
+    pub launches: usize,
+    pub repeats: usize,
+    pub yes: usize,
+    pub refused: usize,
+    pub most_cold_offers: usize,
+}
+
+#[derive(Debug, Default)]
+struct Ask {
+    limit_at: i64,
+    submits: usize,
+    answers: Vec<(i64, i32)>,
+    excused: bool,
+    framework: String,
+}
+
+/// How a launch ended, as far as the planner can know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    NeverRan,
+    MayHaveRun,
+}
+
+#[derive(Debug)]
+struct Sent {
+    at: i64,
+    /// Read by a machine that had stopped reading for a while: when it was sent is not known.
+    late: bool,
+    machine: String,
+    conn: u64,
+    time_out: i64,
+    end: Option<(i64, End)>,
+    said_yes: bool,
+    over: bool,
+    number: u64,
+}
+
+type AskId = (Life, String, u64);
+
+pub struct Auditor {
+    terms: Terms,
+    asks: BTreeMap<AskId, Ask>,
+    launches: BTreeMap<AskId, Vec<Sent>>,
+    by_id: HashMap<(Life, u64), AskId>,
+    service: HashMap<(Life, u64), (u64, String)>,
+    spots: HashMap<String, Spot>,
+    /// When a planner was told that a machine drains or is gone.
+    told: HashMap<(Life, String), i64>,
+    listed: HashMap<Life, HashSet<String>>,
+    started: HashMap<String, i64>,
+    offers: HashMap<String, Vec<i64>>,
+    killed: HashMap<Life, i64>,
+    on_conn: HashMap<u64, Vec<(AskId, usize)>>,
+    breaches: Vec<Breach>,
+    tally: Tally,
+}
+
+impl Auditor {
+    pub fn new(terms: Terms) -> Self {
+        Auditor {
+            terms,
+            asks: BTreeMap::new(),
+            launches: BTreeMap::new(),
+            by_id: HashMap::new(),
+            service: HashMap::new(),
+            spots: HashMap::new(),
+            told: HashMap::new(),
+            listed: HashMap::new(),
+            started: HashMap::new(),
+            offers: HashMap::new(),
+            killed: HashMap::new(),
+            on_conn: HashMap::new(),
+            breaches: Vec::new(),
+            tally: Tally::default(),
+        }
+    }
+
+    fn breach(&mut self, rule: u8, at: i64, life: &Life, about: &str, what: String) {
+        let planner = format!("{} epoch {}", life.0, life.1);
+        self.breaches.push(Breach { rule, at, planner, about: about.to_owned(), what });
+    }
+
+    // Facts.
+
+    pub fn machine_is(&mut self, machine: &str, spot: Spot) {
+        self.spots.insert(machine.to_owned(), spot);
+    }
+
+    /// A machine started and is cold from now on.
+    pub fn machine_started(&mut self, at: i64, machine: &str) {
+        self.started.insert(machine.to_owned(), at);
+        self.offers.remove(machine);
+        self.told.retain(|(_, m), _| m != machine);
+    }
+
+    pub fn planner_killed(&mut self, at: i64, name: &str, epoch: u64) {
+        let life = (name.to_owned(), epoch);
+        for (_, ask) in self.asks.iter_mut().filter(|(id, a)| id.0 == life && a.answers.is_empty()) {
+            ask.excused |= ask.limit_at + self.terms.answer_grace >= at;
+        }
+        self.killed.insert(life, at);
+    }
+
+    /// A machine fell over.
+    pub fn machine_fell(&mut self, at: i64, machine: &str) {
+        let life = (String::from("all planners"), 0);
+        self.breach(4, at, &life, machine, "the cold machine fell over".into());
+    }
+
+    // What owners saw.
+
+    pub fn owner_sent(&mut self, at: i64, life: &Life, s: &Submit) {
+        let id = (life.clone(), s.key.clone(), s.ask);
+        let ask = self.asks.entry(id).or_default();
+        if ask.submits == 0 {
+            ask.limit_at = at + s.time_left_us;
+            ask.framework = s.framework.clone();
+            self.tally.asks += 1;
+        }
+        ask.submits += 1;
+    }
+
+    /// An owner took its asking back: no answer is owed, though one may come.
+    pub fn owner_withdrew(&mut self, life: &Life, key: &str, ask: u64) {
+        if let Some(ask) = self.asks.get_mut(&(life.clone(), key.to_owned(), ask)) {
+            ask.excused = true;
+        }
+    }
+
+    /// An owner's connection ended before the answer came.
+    pub fn owner_cut(&mut self, life: &Life, key: &str, ask: u64) {
+        self.owner_withdrew(life, key, ask);
+    }
+
+    pub fn owner_got(&mut self, at: i64, life: &Life, body: &Body) {
+        let Body::Answer(a) = body else { return };
+        let id = (life.clone(), a.key.clone(), a.ask);
+        let Some(ask) = self.asks.get_mut(&id) else {
+            return self.breach(
+                1,
+                at,
+                life,
+                &a.key,
+                format!("an answer to asking {} that was never made", a.ask),
+            );
+        };
+        ask.answers.push((at, a.kind));
+        let (first, answers, submits) = (ask.answers[0], ask.answers.len(), ask.submits);
+        let (limit_at, excused) = (ask.limit_at, ask.excused);
+        if answers > submits || first.1 != a.kind {
+            let what = format!("asking {}: answer {answers} of kind {} to {submits} submits; the first, of kind {}, came at {}", a.ask, a.kind, first.1, first.0);
+            self.breach(1, at, life, &a.key, what);
+        }
+        if answers == 1 && !excused && at > limit_at + self.terms.answer_grace {
+            let late = (at - limit_at) / 1000;
+            self.breach(
+                1,
+                at,
+                life,
+                &a.key,
+                format!("asking {}: answered {late} ms after its time limit", a.ask),
+            );
+        }
+        if answers == 1 {
+            match AnswerKind::try_from(a.kind) {
+                Ok(AnswerKind::Placed) => self.tally.placed += 1,
+                Ok(AnswerKind::Declined) => self.tally.declined += 1,
+                _ => self.tally.aborted += 1,
+            }
+        }
+    }
+
+    // What the register and machines said to a planner.
+
+    pub fn register_sent(&mut self, at: i64, life: &Life, list: &List) {
+        let mut there = HashSet::new();
+        for e in &list.entries {
+            let of = (life.clone(), e.machine.clone());
+            if e.readiness == Readiness::Ready as i32 {
+                self.told.remove(&of);
+                there.insert(e.machine.clone());
+            } else {
+                self.told.entry(of).or_insert(at);
+            }
+        }
+        let known = self.listed.entry(life.clone()).or_default();
+        if list.whole {
+            for gone in known.difference(&there) {
+                self.told.entry((life.clone(), gone.clone())).or_insert(at);
+            }
+            *known = there;
+        } else {
+            known.extend(there);
+        }
+    }
+
+    /// A frame that a machine wrote to a planner.
+    pub fn machine_sent(&mut self, at: i64, machine: &str, life: &Life, body: &Body) {
+        match body {
+            Body::Drain(d) if d.on => {
+                self.told.entry((life.clone(), machine.to_owned())).or_insert(at);
+            }
+            Body::Drain(_) => {
+                self.told.remove(&(life.clone(), machine.to_owned()));
+            }
+            Body::Inventory(i) if i.draining => {
+                self.told.entry((life.clone(), machine.to_owned())).or_insert(at);
+            }
+            Body::Inventory(i) => {
+                let there: HashSet<u64> =
+                    i.held.iter().filter_map(|h| Some(h.launch.as_ref()?.id?.number)).collect();
+                // A launch that was read before and is not in it has ended, or was never taken in: it runs no more.
+                let of = |s: &&mut Sent| s.machine == machine && !s.over && !s.said_yes;
+                let mine = self.launches.iter_mut().filter(|(id, _)| id.0 == *life);
+                for sent in mine.flat_map(|(_, all)| all.iter_mut()).filter(of) {
+                    if !there.contains(&sent.number) {
+                        sent.end = Some((sent.end.map_or(at, |e| e.0), End::NeverRan));
+                    }
+                }
+            }
+            Body::Yes(x) => {
+                self.tally.yes += 1;
+                self.at_launch(life, x.id, |s| s.said_yes = true);
+            }
+            Body::Refused(x) => {
+                self.tally.refused += 1;
+                self.at_launch(life, x.id, |s| {
+                    s.end = s.end.or(Some((at, End::NeverRan)));
+                    // A cancelled launch that is turned off after all is known not to have run from then on.
+                    if !s.said_yes {
+                        s.end = s.end.map(|e| (e.0, End::NeverRan));
+                    }
+                    s.over = true;
+                });
+            }
+            Body::Failed(x) => self.at_launch(life, x.id, |s| {
+                s.end = s.end.or(Some((at, End::MayHaveRun)));
+                s.over = true;
+            }),
+            Body::Ended(x) => self.at_launch(life, x.id, |s| {
+                s.end = s.end.or(Some((at, End::MayHaveRun)));
+                s.over = true;
+            }),
+            _ => {}
+        }
+    }
+
+    fn at_launch(
+        &mut self,
+        life: &Life,
+        id: Option<basaltpitch_agent::wire::LaunchId>,
+        change: impl Fn(&mut Sent),
+    ) {
+        let Some(id) = id else { return };
+        let of = (life.0.clone(), id.epoch);
+        let Some(ask) = self.by_id.get(&(of, id.number)) else { return };
+        let sent = self.launches.get_mut(ask).and_then(|all| all.iter_mut().find(|s| s.number == id.number));
+        if let Some(sent) = sent {
+            change(sent);
+        }
+    }
+
+    /// A connection between a planner and a machine ended: what was out on it may have run.
+    pub fn machine_cut(&mut self, at: i64, conn: u64) {
+        for (ask, number) in self.on_conn.remove(&conn).unwrap_or_default() {
+            let all = self.launches.get_mut(&ask).expect("kept together");
+            let sent = &mut all[number];
+            sent.end = sent.end.or(Some((at, End::MayHaveRun)));
+        }
+    }
+
+    /// A frame that a machine read from a planner. `late`: it had not been reading for a while.
+    pub fn machine_got(&mut self, at: i64, machine: &str, conn: u64, life: &Life, body: &Body, late: bool) {
+        match body {
+            Body::Launch(l) => self.launched(at, machine, conn, life, l, late),
+            Body::Cancel(x) => self.at_launch(life, x.id, |s| s.end = s.end.or(Some((at, End::MayHaveRun)))),
+            Body::Stop(x) => self.at_launch(life, x.id, |s| s.end = s.end.or(Some((at, End::MayHaveRun)))),
+            _ => {}
+        }
+    }
+
+    fn launched(&mut self, at: i64, machine: &str, conn: u64, life: &Life, l: &Launch, late: bool) {
+        let Some(id) = l.id else { return };
+        if self.by_id.contains_key(&(life.clone(), id.number)) {
+            self.tally.repeats += 1;
+            return;
+        }
+        self.tally.launches += 1;
+        let ask = (life.clone(), l.key.clone(), l.ask);
+        self.by_id.insert((life.clone(), id.number), ask.clone());
+        self.service.insert((life.clone(), id.number), (l.service, l.framework.clone()));
+        self.judge_drain(at, machine, life, l, late);
+        self.judge_cold(at, machine, life);
+        self.judge_spread(at, machine, life, l);
+        let all = self.launches.entry(ask.clone()).or_default();
+        all.push(Sent {
+            at,
+            late,
+            machine: machine.to_owned(),
+            conn,
+            time_out: l.time_out_us,
+            end: None,
+            said_yes: false,
+            over: false,
+            number: id.number,
+        });
+        let number = all.len() - 1;
+        self.on_conn.entry(conn).or_default().push((ask, number));
+    }
+
+    /// Rule 3.
+    fn judge_drain(&mut self, at: i64, machine: &str, life: &Life, l: &Launch, late: bool) {
+        let told = self.told.get(&(life.clone(), machine.to_owned())).copied();
+        if let Some(told) = told.filter(|t| !late && at > t + self.terms.drain_grace + self.terms.slack) {
+            let what = format!(
+                "launched on {machine} {} ms after the planner was told that it drains or is gone",
+                (at - told) / 1000
+            );
+            self.breach(3, at, life, &l.key, what);
+        }
+    }
+
+    /// Rule 4: all planners together.
+    fn judge_cold(&mut self, at: i64, machine: &str, life: &Life) {
+        let Some(&started) = self.started.get(machine) else { return };
+        if at >= started + self.terms.cold {
+            return;
+        }
+        let from = at - self.terms.cold_window;
+        let offers = self.offers.entry(machine.to_owned()).or_default();
+        offers.push(at);
+        let within = offers.iter().rev().take_while(|&&o| o > from).count();
+        self.tally.most_cold_offers = self.tally.most_cold_offers.max(within);
+        if within > self.terms.cold_offers {
+            let what = format!(
+                "{within} offers within {} ms, {} ms after its start",
+                self.terms.cold_window / 1000,
+                (at - started) / 1000
+            );
+            self.breach(4, at, life, machine, what);
+        }
+    }
+
+    /// Rule 5: this planner's tasks of a service in one place, this launch included.
+    fn judge_spread(&mut self, at: i64, machine: &str, life: &Life, l: &Launch) {
+        let Some(f) = self.terms.frameworks.get(&l.framework).filter(|f| f.spread != "none") else { return };
+        let spot = self.spots.get(machine).cloned().unwrap_or_default();
+        let near = |other: &str| {
+            let there = self.spots.get(other).cloned().unwrap_or_default();
+            match f.spread.as_str() {
+                "machine" => other == machine,
+                "cell" => there.cell == spot.cell && there.zone == spot.zone,
+                _ => there.zone == spot.zone,
+            }
+        };
+        // Those with no outcome yet; a copy that said yes counts until it is over.
+        let counts = |s: &Sent| {
+            !s.over && (s.said_yes || (s.end.is_none() && at < s.at + s.time_out)) && near(&s.machine)
+        };
+        let mine = self.launches.iter().filter(|(id, _)| id.0 == *life);
+        let of_service =
+            |s: &&Sent| self.service.get(&(life.clone(), s.number)).is_some_and(|x| x.0 == l.service);
+        let together = 1 + mine.flat_map(|(_, all)| all).filter(|s| counts(s)).filter(of_service).count();
+        let most = f.most;
+        if together > most {
+            let what = format!(
+                "{together} tasks of service {} in one {} with {machine}; at most {most}",
+                l.service, f.spread
+            );
+            self.breach(5, at, life, &l.key, what);
+        }
+    }
+
+    /// The day is over: what can only be judged from the whole is judged now.
+    pub fn finish(mut self, now: i64) -> (Vec<Breach>, Tally) {
+        let asks = std::mem::take(&mut self.asks);
+        for ((life, key, ask), a) in &asks {
+            if a.excused && a.answers.is_empty() {
+                self.tally.excused += 1;
+            }
+            if a.answers.is_empty() && !a.excused && now > a.limit_at + self.terms.answer_grace {
+                self.breach(1, a.limit_at, life, key, format!("asking {ask}: no answer"));
+            }
+        }
+        let launches = std::mem::take(&mut self.launches);
+        for (id, sent) in &launches {
+            if let Some(ask) = asks.get(id) {
+                self.judge_task(id, ask, sent);
+            }
+        }
+        self.breaches.sort_by_key(|b| b.at);
+        (self.breaches, self.tally)
+    }
+
+    /// Rules 1 and 2 over all launches of one asking.
+    fn judge_task(&mut self, (life, key, number): &AskId, ask: &Ask, sent: &[Sent]) {
+        let slack = self.terms.slack;
+        let answered = ask.answers.first();
+        let Some(f) = self.terms.frameworks.get(&ask.framework).cloned() else { return };
+        for (i, s) in sent.iter().enumerate() {
+            if let Some(&(at, _)) = answered.filter(|a| !s.late && s.at > a.0 + slack) {
+                let what = format!(
+                    "asking {number}: launch {} reached {} {} ms after the final answer",
+                    s.number,
+                    s.machine,
+                    (s.at - at) / 1000
+                );
+                self.breach(1, s.at, life, key, what);
+            }
+            for before in &sent[..i] {
+                let patience = before.at + before.time_out;
+                let (end, how) = before.end.unwrap_or((patience, End::MayHaveRun));
+                let (end, how) = if patience < end {
+                    (patience, if how == End::NeverRan { how } else { End::MayHaveRun })
+                } else {
+                    (end, how)
+                };
+                if !s.late && s.at + slack < end {
+                    let what = format!(
+                        "asking {number}: launch {} on {} while launch {} is out on {}",
+                        s.number, s.machine, before.number, before.machine
+                    );
+                    self.breach(2, s.at, life, key, what);
+                } else if how == End::MayHaveRun {
+                    self.judge_repeat((life, key, *number), &f, before, s);
+                }
+            }
+        }
+        let harmless = f.kind == "repeatable" || (f.kind == "keyed" && f.group == "all");
+        let declined = answered.filter(|a| a.1 == AnswerKind::Declined as i32);
+        if let (Some(&(at, _)), false) = (declined, harmless) {
+            let doubt = sent.iter().find(|s| s.end.is_none_or(|e| e.1 == End::MayHaveRun));
+            if let Some(s) = doubt {
+                let what = format!(
+                    "asking {number}: declined, though launch {} on {} may have run",
+                    s.number, s.machine
+                );
+                self.breach(2, at, life, key, what);
+            }
+        }
+    }
+
+    /// A further launch after one that may have run.
+    fn judge_repeat(
+        &mut self,
+        (life, key, number): (&Life, &str, u64),
+        f: &Framework,
+        before: &Sent,
+        s: &Sent,
+    ) {
+        let spot = |m: &str| self.spots.get(m).cloned().unwrap_or_default();
+        let (a, b) = (spot(&before.machine), spot(&s.machine));
+        let in_group = match f.group.as_str() {
+            "all" => true,
+            "zone" => a.zone == b.zone,
+            _ => a == b,
+        };
+        let why = match f.kind.as_str() {
+            "repeatable" => return,
+            "keyed" if !in_group => "outside the group that drops its repeats",
+            "keyed" if !s.late && s.at > before.at + f.window + self.terms.slack => {
+                "after the window in which repeats are known"
+            }
+            "keyed" => return,
+            _ => "though it must never run twice",
+        };
+        let what = format!(
+            "asking {number}: launch {} on {}, {why}; launch {} on {} may have run",
+            s.number, s.machine, before.number, before.machine
+        );
+        self.breach(2, s.at, life, key, what);
+    }
+
+    /// Connections that a launch was read on, for tests.
+    pub fn conns(&self) -> impl Iterator<Item = u64> + '_ {
+        self.launches.values().flatten().map(|s| s.conn)
+    }
+}
--- /dev/null
+++ b/cli/src/ask.rs
@@ -0,0 +1,192 @@
+//! The commands that ask a running planner.
+use crate::Failure;
+use basaltpitch_agent::link::{self, Clock, News, Order};
+use basaltpitch_agent::session::{Event, Party};
+use basaltpitch_agent::wire::{self, AnswerKind, Body, Role};
+use serde_json::Value;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+#[derive(clap::Args)]
+pub struct At {
+    /// Where the planner listens
+    #[arg(long, default_value = "127.0.0.1:7410")]
+    planner: String,
+}
+
+#[derive(clap::Args)]
+pub struct Tasks {
+    #[command(flatten)]
+    at: At,
+    /// Only the task with this key
+    key: Option<String>,
+}
+
+#[derive(clap::Args)]
+pub struct Drain {
+    #[command(flatten)]
+    at: At,
+    machine: String,
+    /// Take the drain back
+    #[arg(long)]
+    off: bool,
+}
+
+#[derive(clap::Args)]
+pub struct Submit {
+    #[command(flatten)]
+    at: At,
+    /// The owner's key for the task
+    key: String,
+    #[arg(long)]
+    framework: String,
+    #[arg(long, default_value = "")]
+    tenant: String,
+    #[arg(long, default_value_t = 1)]
+    service: u64,
+    #[arg(long)]
+    cores: f64,
+    #[arg(long)]
+    memory: f64,
+    /// The number of this asking; the same again asks for the same answer
+    #[arg(long, default_value_t = 1)]
+    ask: u64,
+    /// Seconds until the asking is given up
+    #[arg(long, default_value_t = 6.0)]
+    within: f64,
+    /// Seconds that the task is expected to run
+    #[arg(long, default_value_t = 60.0)]
+    runs: f64,
+}
+
+/// Connects, sends one frame and gives back the first answer.
+fn ask(planner: &str, role: Role, body: Body, within: Duration) -> Result<Body, Failure> {
+    let failed = |e: String| Failure::Failed(format!("{planner}: {e}"));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| failed(e.to_string()))?;
+    let talk = async {
+        let stream = TcpStream::connect(planner).await.map_err(|e| failed(format!("no connection: {e}")))?;
+        let (orders, inbox) = mpsc::channel(16);
+        let (news, mut heard) = mpsc::channel(16);
+        let me = Party { role, name: format!("command-{}", std::process::id()), epoch: 1, link: 1 };
+        let run = link::run(stream, me, Clock::start(), inbox, news, |n| n);
+        let wait = async {
+            orders.send(Order::Send(body, None)).await.map_err(|_| failed("the connection ended".into()))?;
+            while let Some(news) = heard.recv().await {
+                match news {
+                    News::Session(Event::Frame(body)) => return Ok(body),
+                    News::Ended { why, .. } => return Err(Failure::Wrong(format!("{planner}: {why}"))),
+                    News::Session(_) => {}
+                }
+            }
+            Err(failed("the connection ended".into()))
+        };
+        tokio::pin!(wait);
+        tokio::select! {
+            done = &mut wait => done,
+            () = run => wait.await,
+        }
+    };
+    let talk =
+        async { tokio::time::timeout(within, talk).await.map_err(|_| failed("no answer in time".into()))? };
+    runtime.block_on(talk)
+}
+
+fn question(planner: &str, body: Body) -> Result<Value, Failure> {
+    match ask(planner, Role::Operator, body, Duration::from_secs(10))? {
+        Body::Told(told) => serde_json::from_str(&told.json).map_err(|e| Failure::Failed(e.to_string())),
+        _ => Err(Failure::Failed(format!("{planner}: another answer than was asked for"))),
+    }
+}
+
+/// A list as a table, a single record as lines; nested values as JSON.
+fn show(value: &Value, json: bool) {
+    let plain = |v: &Value| match v {
+        Value::String(s) => s.clone(),
+        Value::Null => "-".into(),
+        v => v.to_string(),
+    };
+    match value {
+        _ if json => println!("{value}"),
+        Value::Array(rows) => {
+            let Some(Value::Object(first)) = rows.first() else { return println!("none") };
+            let names: Vec<&String> = first.keys().collect();
+            let cells: Vec<Vec<String>> =
+                rows.iter().map(|r| names.iter().map(|n| plain(&r[n.as_str()])).collect()).collect();
+            let wide = |i: usize| cells.iter().map(|r| r[i].len()).chain([names[i].len()]).max().unwrap_or(0);
+            let widths: Vec<usize> = (0..names.len()).map(wide).collect();
+            let line = |r: Vec<&str>| {
+                let cells = r.iter().zip(&widths).map(|(c, w)| format!("{c:w$}"));
+                println!("{}", cells.collect::<Vec<_>>().join("  ").trim_end());
+            };
+            line(names.iter().map(|n| n.as_str()).collect());
+            cells.iter().for_each(|r| line(r.iter().map(String::as_str).collect()));
+        }
+        Value::Object(fields) => fields.iter().for_each(|(k, v)| println!("{k:14}{}", plain(v))),
+        v => println!("{}", plain(v)),
+    }
+}
+
+impl At {
+    pub fn run(self, what: &str, json: bool) -> Result<(), Failure> {
+        let query = wire::Query { what: what.into(), about: String::new() };
+        show(&question(&self.planner, Body::Query(query))?, json);
+        Ok(())
+    }
+}
+
+impl Tasks {
+    pub fn run(self, json: bool) -> Result<(), Failure> {
+        let what = if self.key.is_some() { "task" } else { "tasks" };
+        let query = wire::Query { what: what.into(), about: self.key.unwrap_or_default() };
+        show(&question(&self.at.planner, Body::Query(query))?, json);
+        Ok(())
+    }
+}
+
+impl Drain {
+    pub fn run(self, json: bool) -> Result<(), Failure> {
+        let drain = wire::Drain { machine: self.machine, on: !self.off };
+        show(&question(&self.at.planner, Body::Drain(drain))?, json);
+        Ok(())
+    }
+}
+
+impl Submit {
+    pub fn run(self, json: bool) -> Result<(), Failure> {
+        if !(self.within > 0.0 && self.within < 1e6 && self.runs > 0.0 && self.runs < 1e9) {
+            return Err(Failure::Wrong("--within, --runs: expected seconds over 0".into()));
+        }
+        let submit = wire::Submit {
+            key: self.key,
+            ask: self.ask,
+            framework: self.framework,
+            tenant: self.tenant,
+            service: self.service,
+            cores: self.cores,
+            memory: self.memory,
+            runs_for_us: (self.runs * 1e6) as i64,
+            time_left_us: (self.within * 1e6) as i64,
+        };
+        let within = Duration::from_secs_f64(self.within + 2.0);
+        let Body::Answer(a) = ask(&self.at.planner, Role::Owner, Body::Submit(submit), within)? else {
+            return Err(Failure::Failed("another answer than was asked for".into()));
+        };
+        let kind = match AnswerKind::try_from(a.kind) {
+            Ok(AnswerKind::Placed) => "placed",
+            Ok(AnswerKind::Declined) => "declined",
+            _ => "aborted",
+        };
+        let told = serde_json::json!({
+            "key": a.key, "ask": a.ask, "answer": kind, "machine": a.machine, "reason": a.reason,
+            "retry_after_ms": a.retry_after_us / 1000,
+        });
+        show(&told, json);
+        if kind == "placed" {
+            Ok(())
+        } else {
+            Err(Failure::Failed(String::new()))
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/drill.rs
@@ -0,0 +1,88 @@
+//! `basaltpitch drill`: a scripted day of trouble, judged by the traffic.
+use crate::{load, Failure};
+use basaltpitch_standins::drill::{run, How, Verdict};
+use std::path::PathBuf;
+
+#[derive(clap::Args)]
+pub struct Drill {
+    /// The installation's files, with a day in one of them
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+    /// Where chance starts from, in place of the day's own
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Planners write recordings into this folder
+    #[arg(long)]
+    record: Option<PathBuf>,
+}
+
+impl Drill {
+    pub fn run(self, json: bool) -> Result<(), Failure> {
+        let installation = load(&self.files)?;
+        if installation.all.get("day").is_none() {
+            return Err(Failure::Wrong("found no field day in these files; expected one for a drill".into()));
+        }
+        let binary = std::env::current_exe().map_err(|e| Failure::Failed(e.to_string()))?;
+        let how = How { installation, files: self.files, binary, seed: self.seed, record: self.record };
+        let verdict = run(how).map_err(|e| Failure::Failed(e.to_string()))?;
+        if json {
+            println!("{}", serde_json::to_string(&verdict).map_err(|e| Failure::Failed(e.to_string()))?);
+        } else {
+            print!("{}", table(&verdict));
+        }
+        let held = verdict.breaches.is_empty();
+        if held {
+            Ok(())
+        } else {
+            Err(Failure::Failed(String::new()))
+        }
+    }
+}
+
+fn table(v: &Verdict) -> String {
+    let t = &v.traffic;
+    let mut text = format!(
+        "seed {}: {} machines, {} planners, {} tasks wanted\n\n",
+        v.seed, v.machines, v.planners, v.wanted
+    );
+    let rows: [(&str, String); 12] = [
+        ("askings", format!("{}", t.asks)),
+        ("  placed", format!("{}", t.placed)),
+        ("  declined", format!("{}", t.declined)),
+        ("  aborted", format!("{}", t.aborted)),
+        ("  no answer owed", format!("{}", t.excused)),
+        ("launches", format!("{} ({} seen twice)", t.launches, t.repeats)),
+        ("  accepted", format!("{}", t.yes)),
+        ("  refused", format!("{}", t.refused)),
+        ("tasks run", format!("{}", v.ran)),
+        ("tasks done", format!("{} ({} lost on the way, {} never placed)", v.done, v.lost, v.unplaced)),
+        (
+            "submit to placed",
+            format!("p50 {} ms, p99 {} ms, p99.9 {} ms", v.placed_ms.p50, v.placed_ms.p99, v.placed_ms.p999),
+        ),
+        ("offers to a cold machine", format!("{} in a window at most", t.most_cold_offers)),
+    ];
+    for (name, value) in rows {
+        text += &format!("{name:26}{value}\n");
+    }
+    text.push('\n');
+    let rules = [
+        "one final answer, in time",
+        "no double effect",
+        "drains kept",
+        "cold machines spared",
+        "spread kept",
+    ];
+    for (i, rule) in rules.iter().enumerate() {
+        let broken = v.breaches.iter().filter(|b| usize::from(b.rule) == i + 1).count();
+        let word = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
+        text += &format!("rule {} {rule:26}{word}\n", i + 1);
+    }
+    for b in v.breaches.iter().take(20) {
+        text += &format!("\nrule {} at {} us, {}, {}: {}", b.rule, b.at, b.planner, b.about, b.what);
+    }
+    if !v.breaches.is_empty() {
+        text.push('\n');
+    }
+    text
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,1 +1,151 @@
-fn main() {}
+//! `basaltpitch`: the planner service and the operators' command line.
+mod ask;
+mod drill;
+mod serve;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Output {
+    Text,
+    Json,
+}
+
+/// A scheduler for long-running tasks. Exit codes: 0 done, 1 it did not work out, 2 wrong input.
+#[derive(Parser)]
+#[command(version, about, max_term_width = 110)]
+struct Cli {
+    /// How results and logs are written
+    #[arg(short, long, global = true, value_enum, default_value = "text")]
+    output: Output,
+    /// What is logged on standard error, such as `info` or `basaltpitch_planner=debug`
+    #[arg(long, global = true, default_value = "warn", env = "BASALTPITCH_LOG")]
+    log: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a planner
+    Serve(serve::Serve),
+    /// Play a scripted day of trouble on loopback and judge the five rules by the traffic
+    Drill(drill::Drill),
+    /// Check an installation's files
+    Check {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+    /// Submit a task and wait for its answer
+    Submit(ask::Submit),
+    /// Show open and placed tasks, or one
+    Tasks(ask::Tasks),
+    /// Show what a planner believes of each machine
+    Machines(ask::At),
+    /// Show a planner's name, epoch and counts
+    Planner(ask::At),
+    /// Drain a machine, or take that back
+    Drain(ask::Drain),
+    /// Tell the decisions what a recording holds and compare their calls
+    Replay { file: PathBuf },
+}
+
+/// What went wrong, by exit code.
+#[derive(Debug)]
+enum Failure {
+    /// 1: it was tried and did not work out.
+    Failed(String),
+    /// 2: the input was wrong.
+    Wrong(String),
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let filter = tracing_subscriber::EnvFilter::try_new(&cli.log);
+    let filter = match filter {
+        Ok(filter) => filter,
+        Err(e) => {
+            return fail(Failure::Wrong(format!("--log: found {:?} ({e}); expected such as info", cli.log)))
+        }
+    };
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match cli.output {
+        Output::Json => logs.json().init(),
+        Output::Text => logs.init(),
+    }
+    let json = cli.output == Output::Json;
+    let done = match cli.command {
+        Command::Serve(serve) => serve.run(json),
+        Command::Drill(drill) => drill.run(json),
+        Command::Check { files } => check(&files, json),
+        Command::Submit(submit) => submit.run(json),
+        Command::Tasks(tasks) => tasks.run(json),
+        Command::Machines(at) => at.run("machines", json),
+        Command::Planner(at) => at.run("planner", json),
+        Command::Drain(drain) => drain.run(json),
+        Command::Replay { file } => replay(&file, json),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => fail(failure),
+    }
+}
+
+fn fail(failure: Failure) -> ExitCode {
+    let (text, code) = match failure {
+        Failure::Failed(text) => (text, 1),
+        Failure::Wrong(text) => (text, 2),
+    };
+    if !text.is_empty() {
+        eprintln!("{}", text.trim_end());
+    }
+    ExitCode::from(code)
+}
+
+/// Reads an installation, or says all that is wrong with it.
+fn load(files: &[PathBuf]) -> Result<basaltpitch_records::installation::Installation, Failure> {
+    basaltpitch_records::installation::load(files).map_err(|(sources, faults)| {
+        let text = faults.iter().map(|f| format!("{}\n{:?}", f.line(&sources), f.report(&sources)));
+        Failure::Wrong(text.collect::<Vec<_>>().join("\n"))
+    })
+}
+
+fn check(files: &[PathBuf], json: bool) -> Result<(), Failure> {
+    let found = load(files)?;
+    let count = |list: &str| found.names(list).len();
+    if json {
+        let found = serde_json::json!({
+            "frameworks": found.names("frameworks"), "kinds": found.names("kinds"),
+            "zones": found.names("zones"), "tenants": found.names("tenants"),
+        });
+        println!("{found}");
+    } else {
+        println!(
+            "right: {} frameworks, {} kinds of machine, {} zones, {} tenants",
+            count("frameworks"),
+            count("kinds"),
+            count("zones"),
+            count("tenants")
+        );
+    }
+    Ok(())
+}
+
+fn replay(path: &std::path::Path, json: bool) -> Result<(), Failure> {
+    use basaltpitch_planner::recording::{replay, Replayed};
+    let file = std::fs::File::open(path).map_err(|e| Failure::Wrong(format!("{}: {e}", path.display())))?;
+    let found = replay(std::io::BufReader::new(file));
+    match found.map_err(|e| Failure::Wrong(format!("{}: {e}", path.display())))? {
+        Replayed::Same { told, calls } if json => {
+            println!("{}", serde_json::json!({"same": true, "told": told, "calls": calls}))
+        }
+        Replayed::Same { told, calls } => println!("same: {calls} calls after {told} things told"),
+        Replayed::Differs { line, recorded, now } => {
+            let text = format!("{}: line {line}: recorded {recorded:?}, now {now:?}", path.display());
+            return Err(Failure::Failed(text));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/cli/src/serve.rs
@@ -0,0 +1,93 @@
+//! `basaltpitch serve`: one planner.
+use crate::{load, Failure};
+use basaltpitch::host::{Given, Value};
+use basaltpitch_planner::core::Who;
+use basaltpitch_records::installation::{Laid, Seat};
+use std::io::Write;
+use std::path::PathBuf;
+
+#[derive(clap::Args)]
+pub struct Serve {
+    /// The installation's files
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+    /// This planner's name; a successor under the same name takes over what it placed
+    #[arg(long)]
+    name: String,
+    /// Its number among the installation's planners, from 0
+    #[arg(long, default_value_t = 0)]
+    number: usize,
+    /// The zone that it is in
+    #[arg(long)]
+    zone: String,
+    /// Where the register listens
+    #[arg(long)]
+    register: String,
+    /// Where owners and operators are listened to
+    #[arg(long, default_value = "127.0.0.1:7410")]
+    listen: String,
+    /// Its incarnation; later lives need a higher one. By default the time of its start in microseconds
+    #[arg(long)]
+    epoch: Option<u64>,
+    /// Where chance starts from; by default its epoch
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Write everything that the decisions are told, and their calls, into this file
+    #[arg(long)]
+    record: Option<PathBuf>,
+}
+
+impl Serve {
+    pub fn run(self, json: bool) -> Result<(), Failure> {
+        let installation = load(&self.files)?;
+        let zones = installation.names("zones");
+        if !zones.contains(&self.zone) {
+            return Err(Failure::Wrong(format!(
+                "--zone: found {:?}; expected one of {}",
+                self.zone,
+                zones.join(", ")
+            )));
+        }
+        let planners = installation.all.number("planners").unwrap_or(1.0) as usize;
+        if self.number >= planners {
+            let most = planners - 1;
+            return Err(Failure::Wrong(format!("--number: found {}; expected 0 to {most}", self.number)));
+        }
+        let seat = Seat { number: self.number, planners, zone: self.zone.clone() };
+        let value = |laid| match laid {
+            Laid::Number(n) => Value::Number(n),
+            Laid::Text(t) => Value::Text(t),
+        };
+        let given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let epoch = self.epoch.unwrap_or(since.map_or(1, |d| d.as_micros() as u64));
+        let record = self.record.as_ref().map(|path| {
+            let file = std::fs::File::create(path);
+            let file = file.map_err(|e| Failure::Wrong(format!("--record {}: {e}", path.display())))?;
+            Ok::<Box<dyn Write + Send>, Failure>(Box::new(file))
+        });
+        let record = record.transpose()?;
+        let who = Who { name: self.name, epoch, seed: self.seed.unwrap_or(epoch), register: self.register };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| Failure::Failed(e.to_string()))?;
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::bind(&self.listen).await;
+            let listener = listener.map_err(|e| Failure::Wrong(format!("--listen {}: {e}", self.listen)))?;
+            let at = listener.local_addr().map_err(|e| Failure::Failed(e.to_string()))?;
+            if json {
+                println!(
+                    "{}",
+                    serde_json::json!({"listening": at.to_string(), "epoch": epoch, "name": who.name})
+                );
+            } else {
+                println!("{} listens on {at}, epoch {epoch}", who.name);
+            }
+            let _ = std::io::stdout().flush();
+            let stop = async {
+                let _ = tokio::signal::ctrl_c().await;
+            };
+            basaltpitch_planner::service::serve(listener, who, given, record, stop).await;
+            Ok(())
+        })
+    }
+}
--- /dev/null
+++ b/standins/src/drill.rs
@@ -0,0 +1,378 @@
+//! A drill: planners as processes of their own, stand-ins for all else in this one, a scripted day of trouble, and a
+//! verdict by the traffic on the sockets.
+use crate::day::{self, Load, Planners, Stage};
+use crate::machine::{self, Manners, World};
+use crate::owner::{self, Front, Seens, Wish};
+use crate::register::{self, Lateness};
+use basaltpitch_agent::link::Clock;
+use basaltpitch_agent::wire::Submit;
+use basaltpitch_audit::{Auditor, Breach, Framework, Spot, Tally, Terms};
+use basaltpitch_records::installation::Installation;
+use basaltpitch_records::{Plain, Settled};
+use rand::{rngs::StdRng, Rng, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::path::PathBuf;
+use std::pin::Pin;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::task::LocalSet;
+
+/// How a drill is run.
+pub struct How {
+    pub installation: Installation,
+    /// The files that the installation was read from; planners read them too.
+    pub files: Vec<PathBuf>,
+    /// The binary that has `serve`.
+    pub binary: PathBuf,
+    pub seed: Option<u64>,
+    /// Planners write recordings into this folder.
+    pub record: Option<PathBuf>,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Verdict {
+    pub seed: u64,
+    pub machines: usize,
+    pub planners: usize,
+    pub wanted: u64,
+    pub asked: u64,
+    pub done: u64,
+    pub lost: u64,
+    pub given_up: u64,
+    pub unplaced: u64,
+    pub ran: u64,
+    pub placed_ms: Percentiles,
+    pub traffic: Tally,
+    pub breaches: Vec<Breach>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Percentiles {
+    pub p50: f64,
+    pub p99: f64,
+    pub p999: f64,
+}
+
+/// A line that `serve` prints once it listens.
+#[derive(serde::Deserialize)]
+struct Listening {
+    listening: String,
+    epoch: u64,
+}
+
+struct Process {
+    child: RefCell<Option<Child>>,
+    epoch: Cell<u64>,
+}
+
+struct Processes {
+    how: Rc<How>,
+    register: String,
+    zones: Vec<String>,
+    world: Rc<World>,
+    front: Front,
+    all: Vec<Process>,
+    lives: Cell<u32>,
+}
+
+impl Processes {
+    async fn spawn(&self, p: usize) -> io::Result<()> {
+        let mut command = Command::new(&self.how.binary);
+        command.arg("serve").args(&self.how.files);
+        let name = format!("planner-{p}");
+        let number = p.to_string();
+        command.args(["--name", &name, "--number", &number, "--zone", &self.zone(p)]);
+        command.args(["--register", &self.register, "--listen", "127.0.0.1:0", "-o", "json"]);
+        if let Some(folder) = &self.how.record {
+            self.lives.set(self.lives.get() + 1);
+            command.arg("--record").arg(folder.join(format!("{name}-{}.recording", self.lives.get())));
+        }
+        let mut child = command.stdout(Stdio::piped()).stdin(Stdio::null()).kill_on_drop(true).spawn()?;
+        let out = child.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
+        let mut lines = BufReader::new(out).lines();
+        let first = tokio::time::timeout(Duration::from_secs(20), lines.next_line()).await;
+        let first =
+            first.map_err(|_| io::Error::other("planner did not start in 20 s"))??.unwrap_or_default();
+        let started: Listening = serde_json::from_str(&first).map_err(|e| {
+            io::Error::other(format!("planner said {first:?}; expected where it listens ({e})"))
+        })?;
+        self.front.borrow_mut()[p] = started.listening;
+        self.all[p].epoch.set(started.epoch);
+        *self.all[p].child.borrow_mut() = Some(child);
+        Ok(())
+    }
+}
+
+impl Planners for Processes {
+    fn count(&self) -> usize {
+        self.all.len()
+    }
+
+    fn zone(&self, planner: usize) -> String {
+        self.zones[planner % self.zones.len()].clone()
+    }
+
+    fn kill(&self, planner: usize) -> Pin<Box<dyn Future<Output = ()> + '_>> {
+        Box::pin(async move {
+            let child = self.all[planner].child.borrow_mut().take();
+            if let Some(mut child) = child {
+                let (now, epoch) = (self.world.clock.now(), self.all[planner].epoch.get());
+                self.world.auditor.borrow_mut().planner_killed(now, &format!("planner-{planner}"), epoch);
+                let _ = child.kill().await;
+            }
+        })
+    }
+
+    fn start(&self, planner: usize) -> Pin<Box<dyn Future<Output = ()> + '_>> {
+        Box::pin(async move {
+            if let Err(e) = self.spawn(planner).await {
+                tracing::error!(planner, error = %e, "a planner did not come back");
+            }
+        })
+    }
+}
+
+fn terms(all: &Settled) -> Terms {
+    let time = |path: &str| all.time(path).unwrap_or(0);
+    let framework = |f: &Settled| Framework {
+        kind: f.text("repeat").unwrap_or("").to_owned(),
+        group: f.text("group").unwrap_or("all").to_owned(),
+        window: f.time("window").unwrap_or(0),
+        spread: f.text("spread").unwrap_or("none").to_owned(),
+        most: f.number("most").unwrap_or(1.0) as usize,
+    };
+    let named = |f: &Settled| (f.text("name").unwrap_or("").to_owned(), framework(f));
+    Terms {
+        answer_grace: time("rules.answer_grace"),
+        drain_grace: time("rules.drain_grace"),
+        cold: time("rules.cold"),
+        cold_window: time("rules.cold_window"),
+        cold_offers: all.number("rules.cold_offers").unwrap_or(1.0) as usize,
+        slack: 250_000,
+        frameworks: all.list("frameworks").iter().map(named).collect(),
+    }
+}
+
+fn manners(all: &Settled, day: &Settled) -> Manners {
+    let by_framework = |field: &str| -> HashMap<String, String> {
+        let of = |f: &Settled| Some((f.text("name")?.to_owned(), f.text(field)?.to_owned()));
+        all.list("frameworks").iter().filter_map(of).collect()
+    };
+    let priority =
+        |f: &Settled| (f.text("name").unwrap_or("").to_owned(), f.number("priority").unwrap_or(0.0) as i64);
+    let count = |path: &str| day.number(path).unwrap_or(1.0) as usize;
+    Manners {
+        look_us: day.time("look").unwrap_or(3_000),
+        start_us: day.time("start").unwrap_or(30_000),
+        cold_start: day.number("cold_start").unwrap_or(8.0),
+        starts: count("starts"),
+        line: count("line"),
+        keeps: count("keeps"),
+        accept_cores: all.number("machines.accept_cores").unwrap_or(2.0),
+        accept_memory: all.number("machines.accept_memory").unwrap_or(1.5),
+        yes_when_running: all.text("machines.yes") == Some("running"),
+        cold_us: all.time("rules.cold").unwrap_or(0),
+        cold_offers: all.number("rules.cold_offers").unwrap_or(1.0) as usize,
+        cold_window: all.time("rules.cold_window").unwrap_or(1),
+        report_every: 200_000,
+        kinds: by_framework("kind"),
+        groups: by_framework("group"),
+        priorities: all.list("frameworks").iter().map(priority).collect(),
+    }
+}
+
+/// Runs a drill to its end.
+pub fn run(how: How) -> io::Result<Verdict> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, play(how))
+}
+
+async fn play(how: How) -> io::Result<Verdict> {
+    let all = how.installation.all.clone();
+    let Some(day) = all.get("day").cloned() else { return Err(io::Error::other("the files hold no day")) };
+    let seed = how.seed.unwrap_or(day.number("seed").unwrap_or(1.0) as u64);
+    let mut chance = StdRng::seed_from_u64(seed);
+    let load = Rc::new(Load::default());
+    let world = Rc::new(World {
+        clock: Clock::start(),
+        auditor: RefCell::new(Auditor::new(terms(&all))),
+        manners: manners(&all, &day),
+        standing: RefCell::new(HashMap::new()),
+        uses: RefCell::new(day::uses(&how.installation, load.clone())),
+    });
+    let fleet = start_fleet(&all, &day, &world, &mut chance).await?;
+    let time = |path: &str| day.time(path).unwrap_or(0);
+    let late = Lateness {
+        notice_us: time("notice"),
+        silent_notice_us: time("silent_notice"),
+        period_us: time("period"),
+    };
+    let register = register::start(world.clone(), fleet.clone(), late).await?;
+    let planners = all.number("planners").unwrap_or(1.0) as usize;
+    let front: Front = Rc::new(RefCell::new(vec![String::new(); planners]));
+    let processes = Rc::new(Processes {
+        register: register.address.clone(),
+        zones: how.installation.names("zones"),
+        world: world.clone(),
+        front: front.clone(),
+        all: (0..planners).map(|_| Process { child: RefCell::new(None), epoch: Cell::new(0) }).collect(),
+        lives: Cell::new(0),
+        how: Rc::new(how),
+    });
+    for p in 0..planners {
+        processes.spawn(p).await?;
+    }
+    // The day begins once every planner has a link to every machine.
+    let linked = |m: &Rc<machine::Machine>| m.conns.get() >= planners as u64;
+    for _ in 0..200 {
+        if fleet.iter().all(linked) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let seens = Rc::new(RefCell::new(Seens::default()));
+    let settle_us = all.time("rules.settle").unwrap_or(3_000_000);
+    let owners = day.number("owners").unwrap_or(1.0) as u64;
+    let owners: Vec<_> = (0..owners)
+        .map(|n| owner::start(world.clone(), front.clone(), seens.clone(), n, seed ^ n, settle_us))
+        .collect();
+    let stage = Rc::new(Stage {
+        world: world.clone(),
+        fleet: fleet.clone(),
+        register,
+        load: load.clone(),
+        planners: processes.clone(),
+        tenants: processes.how.installation.names("tenants"),
+    });
+    for (i, trouble) in day::troubles(&day).into_iter().enumerate() {
+        tokio::task::spawn_local(stage.clone().play(trouble, seed.wrapping_mul(1000) + i as u64));
+    }
+    let wanted = ask_all(&all, &day, &load, &owners, &mut chance).await;
+    tokio::time::sleep(Duration::from_micros(time("settle") as u64)).await;
+    let now = world.clock.now();
+    for p in 0..planners {
+        let child = processes.all[p].child.borrow_mut().take();
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
+        }
+    }
+    let ran = fleet.iter().map(|m| m.ran.get()).sum();
+    let auditor = world.auditor.replace(Auditor::new(terms(&all)));
+    let (breaches, traffic) = auditor.finish(now);
+    let seens = seens.borrow();
+    let ms = |q: f64| seens.placed_us.value_at_quantile(q) as f64 / 1000.0;
+    Ok(Verdict {
+        seed,
+        machines: fleet.len(),
+        planners,
+        wanted,
+        asked: seens.asked,
+        done: seens.done,
+        lost: seens.lost,
+        given_up: seens.given_up,
+        unplaced: seens.unplaced,
+        ran,
+        placed_ms: Percentiles { p50: ms(0.5), p99: ms(0.99), p999: ms(0.999) },
+        traffic,
+        breaches,
+    })
+}
+
+async fn start_fleet(
+    all: &Settled,
+    day: &Settled,
+    world: &Rc<World>,
+    chance: &mut StdRng,
+) -> io::Result<Vec<Rc<machine::Machine>>> {
+    let mut fleet = Vec::new();
+    let cell_of = day.number("cell").unwrap_or(4.0) as usize;
+    let mut cells: HashMap<String, u32> = HashMap::new();
+    let mut next_cell = 0;
+    for group in day.list("machines") {
+        let (kind, zone) = (group.text("kind").unwrap_or(""), group.text("zone").unwrap_or(""));
+        let sized = all.list("kinds").iter().find(|k| k.text("name") == Some(kind));
+        let size = sized
+            .map_or((1.0, 1.0), |k| (k.number("cores").unwrap_or(1.0), k.number("memory").unwrap_or(1.0)));
+        for i in 0..group.number("count").unwrap_or(1.0) as usize {
+            if i % cell_of == 0 {
+                next_cell += 1;
+                cells.insert(zone.to_owned(), next_cell);
+            }
+            let place = (zone.to_owned(), cells[zone]);
+            let name = format!("machine-{}", fleet.len());
+            let spot = Spot { zone: zone.to_owned(), cell: place.1 };
+            world.auditor.borrow_mut().machine_is(&name, spot);
+            let seed = chance.random();
+            fleet.push(machine::start(world.clone(), name, place, kind.to_owned(), size, seed).await?);
+        }
+    }
+    Ok(fleet)
+}
+
+/// Asks for tasks by the clock, until the day's length is over: arrivals do not wait for answers.
+async fn ask_all(
+    all: &Settled,
+    day: &Settled,
+    load: &Load,
+    owners: &[tokio::sync::mpsc::Sender<Wish>],
+    chance: &mut StdRng,
+) -> u64 {
+    let number = |s: &Settled| match s.value {
+        Plain::Number(n) => n,
+        _ => 0.0,
+    };
+    let sources = day.list("tasks");
+    let start = tokio::time::Instant::now();
+    let length = day.time("length").unwrap_or(0) as f64 / 1e6;
+    let rate = |t: &Settled| {
+        let burst = if load.burst.get() > 0.0 { load.burst.get() } else { 1.0 };
+        let tenant = load.tenant.borrow();
+        let of_tenant =
+            tenant.as_ref().filter(|x| t.text("tenant") == Some(x.0.as_str())).map_or(1.0, |x| x.1);
+        t.number("per_s").unwrap_or(1.0) * burst * of_tenant
+    };
+    let gap = |t: &Settled, chance: &mut StdRng| Exp::new(rate(t)).map_or(1.0, |e| e.sample(chance));
+    let mut next: Vec<f64> = sources.iter().map(|t| gap(t, chance)).collect();
+    let mut wanted = 0;
+    loop {
+        let Some((i, at)) = next.iter().copied().enumerate().min_by(|a, b| a.1.total_cmp(&b.1)) else {
+            break;
+        };
+        if at >= length {
+            break;
+        }
+        tokio::time::sleep_until(start + Duration::from_secs_f64(at)).await;
+        let t = &sources[i];
+        next[i] = at + gap(t, chance);
+        wanted += 1;
+        let framework = t.text("framework").unwrap_or("");
+        let of = all.list("frameworks").iter().find(|f| f.text("name") == Some(framework));
+        let limit_us = of.and_then(|f| f.time("limit")).unwrap_or(1_000_000);
+        let repeatable = of.and_then(|f| f.text("repeat")) == Some("repeatable");
+        let size = chance.random_range(0..t.list("cores").len());
+        let submit = Submit {
+            key: format!("{framework}/{i}/{wanted}"),
+            ask: 0,
+            framework: framework.to_owned(),
+            tenant: t.text("tenant").unwrap_or("").to_owned(),
+            service: (i as u64) * 1000 + chance.random_range(0..t.number("services").unwrap_or(1.0) as u64),
+            cores: number(&t.list("cores")[size]),
+            memory: number(&t.list("memory")[size]),
+            runs_for_us: t.time("runs").unwrap_or(1_000_000),
+            time_left_us: 0,
+        };
+        let tries = day.number("tries").unwrap_or(3.0) as u32;
+        let wish = Wish { submit, limit_us, repeatable, tries };
+        let _ = owners[chance.random_range(0..owners.len())].try_send(wish);
+    }
+    wanted
+}
--- /dev/null
+++ b/standins/src/machine.rs
@@ -0,0 +1,681 @@
+//! A stand-in machine: it looks at one offer at a time, accepts within bounds or refuses with a reason, starts a few
+//! tasks at once, slowly where it has not the program, keeps programs for a while, evicts when memory runs out,
+//! pushes out for higher priority, drops repeats of a keyed task in its hall, and falls over if pushed while cold.
+use crate::rough::{self, Knobs, Seen};
+use basaltpitch_agent::holder::{Holder, Id, Say, State};
+use basaltpitch_agent::link::{self, Clock, News, Order};
+use basaltpitch_agent::session::{Event, Party};
+use basaltpitch_agent::why;
+use basaltpitch_agent::wire::{self, Body, EndedHow, Launch, LaunchId, Report, Role};
+use basaltpitch_audit::Auditor;
+use rand::{rngs::StdRng, Rng, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// What stand-in machines are like.
+#[derive(Clone, Debug)]
+pub struct Manners {
+    pub look_us: i64,
+    pub start_us: i64,
+    pub cold_start: f64,
+    pub starts: usize,
+    pub line: usize,
+    pub keeps: usize,
+    pub accept_cores: f64,
+    pub accept_memory: f64,
+    pub yes_when_running: bool,
+    pub cold_us: i64,
+    pub cold_offers: usize,
+    pub cold_window: i64,
+    pub report_every: i64,
+    pub kinds: HashMap<String, String>,
+    pub groups: HashMap<String, String>,
+    pub priorities: HashMap<String, i64>,
+}
+
+/// What a launch uses when it runs: cores, memory, and microseconds.
+pub type Uses = Box<dyn Fn(&Launch) -> (f64, f64, i64)>;
+
+/// What the whole fleet of stand-ins shares.
+pub struct World {
+    pub clock: Clock,
+    pub auditor: RefCell<Auditor>,
+    pub manners: Manners,
+    /// Copies of keyed tasks that stand, by group of machines and key.
+    pub standing: RefCell<HashMap<(String, String), u32>>,
+    pub uses: RefCell<Uses>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    Drain(bool),
+    /// Stops with all that runs, and starts anew at once with nothing.
+    Restart,
+    Down,
+    Up,
+    Flush,
+    /// Pushes out so many in a hundred of what runs.
+    PushOut(f64),
+    SendAway,
+}
+
+#[derive(Debug)]
+enum In {
+    Conn(u64, News),
+    Offer(Word),
+}
+
+/// A machine as the drill sees it.
+pub struct Machine {
+    pub name: String,
+    pub address: String,
+    pub kind: String,
+    pub zone: String,
+    pub cell: u32,
+    pub cores: f64,
+    pub memory: f64,
+    pub knobs: Rc<Knobs>,
+    pub started: Cell<i64>,
+    pub draining: Cell<bool>,
+    pub up: Cell<bool>,
+    /// It answers nobody, though it runs.
+    pub vanished: Cell<bool>,
+    pub asked: Cell<(f64, f64)>,
+    pub fails: Cell<f64>,
+    pub late_reports_us: Cell<i64>,
+    /// Share of its cores and memory that leaks away.
+    pub leaked: Cell<f64>,
+    pub conns: Cell<u64>,
+    pub ran: Cell<u64>,
+    orders: mpsc::Sender<In>,
+}
+
+impl Machine {
+    pub fn tell(&self, say: Word) {
+        let _ = self.orders.try_send(In::Offer(say));
+    }
+}
+
+struct Run {
+    framework: String,
+    service: u64,
+    cores: f64,
+    memory: f64,
+    asks: (f64, f64),
+    runs_us: i64,
+    ends_at: i64,
+    running: bool,
+}
+
+type Of = (String, Id);
+
+enum At {
+    Look,
+    Start(Of),
+    End(Of),
+    Second,
+}
+
+struct Inside {
+    me: Rc<Machine>,
+    world: Rc<World>,
+    chance: StdRng,
+    holder: Holder<String, Launch>,
+    links: BTreeMap<String, (u64, mpsc::Sender<Order>)>,
+    conns: HashMap<u64, (mpsc::Sender<Order>, Option<Party>)>,
+    line: VecDeque<Of>,
+    looking: bool,
+    waits: VecDeque<Of>,
+    starting: usize,
+    tasks: BTreeMap<Of, Run>,
+    kept: VecDeque<u64>,
+    offers: VecDeque<i64>,
+    reports: VecDeque<(i64, f64, f64)>,
+    times: BTreeMap<(i64, u64), At>,
+    seq: u64,
+}
+
+/// Starts a machine on a loopback port of its own.
+#[allow(clippy::too_many_arguments)]
+pub async fn start(
+    world: Rc<World>,
+    name: String,
+    place: (String, u32),
+    kind: String,
+    size: (f64, f64),
+    seed: u64,
+) -> std::io::Result<Rc<Machine>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let (orders, inbox) = mpsc::channel(1024);
+    let me = Rc::new(Machine {
+        name,
+        address: listener.local_addr()?.to_string(),
+        kind,
+        zone: place.0,
+        cell: place.1,
+        cores: size.0,
+        memory: size.1,
+        knobs: Rc::new(Knobs::default()),
+        started: Cell::new(world.clock.now() - 60_000_000),
+        draining: Cell::new(false),
+        up: Cell::new(true),
+        vanished: Cell::new(false),
+        asked: Cell::new((0.0, 0.0)),
+        fails: Cell::new(0.0),
+        late_reports_us: Cell::new(0),
+        leaked: Cell::new(0.0),
+        conns: Cell::new(0),
+        ran: Cell::new(0),
+        orders: orders.clone(),
+    });
+    let now = world.clock.now();
+    let inside = Inside {
+        me: me.clone(),
+        world,
+        chance: StdRng::seed_from_u64(seed),
+        holder: Holder::default(),
+        links: BTreeMap::new(),
+        conns: HashMap::new(),
+        line: VecDeque::new(),
+        looking: false,
+        waits: VecDeque::new(),
+        starting: 0,
+        tasks: BTreeMap::new(),
+        kept: VecDeque::new(),
+        offers: VecDeque::new(),
+        reports: VecDeque::new(),
+        times: BTreeMap::from([((now, 0), At::Second)]),
+        seq: 0,
+    };
+    tokio::task::spawn_local(inside.run(listener, orders, inbox));
+    Ok(me)
+}
+
+fn wire_id(id: Id) -> Option<LaunchId> {
+    Some(LaunchId { epoch: id.0, number: id.1 })
+}
+
+impl Inside {
+    async fn run(mut self, listener: TcpListener, orders: mpsc::Sender<In>, mut inbox: mpsc::Receiver<In>) {
+        loop {
+            let wake = self.times.keys().next().map_or(i64::MAX, |k| k.0);
+            tokio::select! {
+                got = inbox.recv() => match got {
+                    Some(In::Conn(conn, news)) => self.hear(conn, news),
+                    Some(In::Offer(say)) => self.told(say),
+                    None => return,
+                },
+                accepted = listener.accept() => {
+                    if let (Ok((stream, _)), true) = (accepted, self.me.up.get()) {
+                        self.accept(stream, orders.clone());
+                    }
+                }
+                () = tokio::time::sleep_until(self.world.clock.at(wake)) => {
+                    let now = self.now();
+                    while self.times.keys().next().is_some_and(|k| k.0 <= now) {
+                        let (_, at) = self.times.pop_first().expect("it has a first");
+                        self.due(at);
+                    }
+                }
+            }
+        }
+    }
+
+    fn now(&self) -> i64 {
+        self.world.clock.now()
+    }
+
+    fn later(&mut self, after: i64, at: At) {
+        self.seq += 1;
+        self.times.insert((self.now() + after, self.seq), at);
+    }
+
+    fn accept(&mut self, stream: tokio::net::TcpStream, news: mpsc::Sender<In>) {
+        let _ = stream.set_nodelay(true);
+        let conn = self.me.conns.get() + 1;
+        self.me.conns.set(conn);
+        let (outer, inner) = tokio::io::duplex(64 * 1024);
+        let (orders, inbox) = mpsc::channel(4096);
+        self.conns.insert(conn, (orders, None));
+        let (world, name, clock) = (self.world.clone(), self.me.name.clone(), self.world.clock);
+        // The auditor's number for a connection is the machine's own with the machine's name mixed in.
+        let seen_as = seen_number(&name, conn);
+        let show = move |hello: &wire::Hello, seen: Seen| {
+            let life = (hello.name.clone(), hello.epoch);
+            let (mut auditor, now) = (world.auditor.borrow_mut(), world.clock.now());
+            match seen {
+                Seen::Read { body, late } => auditor.machine_got(now, &name, seen_as, &life, body, late),
+                Seen::Wrote { body } => auditor.machine_sent(now, &name, &life, body),
+                Seen::Gone => auditor.machine_cut(now, seen_as),
+            }
+        };
+        tokio::task::spawn_local(rough::carry(stream, inner, conn, self.me.knobs.clone(), clock, show));
+        let me = Party {
+            role: Role::Machine,
+            name: self.me.name.clone(),
+            epoch: self.me.started.get() as u64,
+            link: conn,
+        };
+        tokio::task::spawn_local(link::run(outer, me, clock, inbox, news, move |n| In::Conn(conn, n)));
+    }
+
+    fn hear(&mut self, conn: u64, news: News) {
+        match news {
+            News::Session(Event::Up(party)) if party.role == Role::Planner => {
+                if !self.holder.hello(&party.name, party.epoch, party.link) {
+                    return self.close(conn, "an older life or link of this planner");
+                }
+                let orders = self.conns[&conn].0.clone();
+                self.conns.get_mut(&conn).expect("it stands").1 = Some(party.clone());
+                if let Some((old, _)) = self.links.insert(party.name.clone(), (conn, orders)) {
+                    self.close(old, "a newer link came");
+                }
+                self.line.retain(|of| self.holder.state(&of.0, of.1).is_some());
+                let (endings, held) = self.holder.inventory(&party.name);
+                for (id, say) in endings {
+                    let key = self.holder.with(&party.name, id).map(|l| l.key.clone()).unwrap_or_default();
+                    self.say(&party.name, id, key, say);
+                }
+                let held = held.into_iter().map(|(_, state, launch)| wire::Held {
+                    launch: Some(launch),
+                    accepted: state != State::Queued,
+                    running: state == State::Running,
+                });
+                let inventory = wire::Inventory { held: held.collect(), draining: self.me.draining.get() };
+                self.send(&party.name, Body::Inventory(inventory));
+            }
+            News::Session(Event::Frame(body)) => {
+                let party = self.conns.get(&conn).and_then(|c| c.1.clone());
+                if let Some(p) = party.filter(|p| self.holder.is_current(&p.name, p.epoch, p.link)) {
+                    self.frame(p.name, body);
+                }
+            }
+            News::Ended { .. } => {
+                if let Some((_, Some(party))) = self.conns.remove(&conn) {
+                    if self.links.get(&party.name).is_some_and(|l| l.0 == conn) {
+                        self.links.remove(&party.name);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn close(&self, conn: u64, why: &str) {
+        if let Some((orders, _)) = self.conns.get(&conn) {
+            let _ = orders.try_send(Order::Close(why.to_owned()));
+        }
+    }
+
+    fn send(&self, planner: &str, body: Body) {
+        if let Some((_, orders)) = self.links.get(planner) {
+            let _ = orders.try_send(Order::Send(body, None));
+        }
+    }
+
+    fn frame(&mut self, planner: String, body: Body) {
+        let id = |id: Option<LaunchId>| id.map_or((0, 0), |i| (i.epoch, i.number));
+        match body {
+            Body::Launch(l) => self.offered(planner, l),
+            Body::Cancel(x) => {
+                let id = id(x.id);
+                let key = self.holder.with(&planner, id).map(|l| l.key.clone()).unwrap_or_default();
+                let say = self.holder.cancel(&planner, id);
+                self.line.retain(|of| *of != (planner.clone(), id));
+                self.say(&planner, id, key, say);
+            }
+            Body::Stop(x) => {
+                let of = (planner, id(x.id));
+                match self.holder.state(&of.0, of.1) {
+                    Some(State::Accepted | State::Running) => self.ends(&of, EndedHow::EndedStopped),
+                    _ => self.frame(of.0, Body::Cancel(wire::Cancel { id: x.id })),
+                }
+            }
+            Body::Noted(x) => self.holder.noted(&planner, id(x.id)),
+            Body::Probe(x) => {
+                let report = self.report();
+                self.send(&planner, Body::Probed(wire::Probed { number: x.number, why: 0, report }));
+            }
+            _ => {}
+        }
+    }
+
+    fn say(&self, planner: &str, id: Id, key: String, say: Say) {
+        let (report, id) = (self.report(), wire_id(id));
+        let body = match say {
+            Say::Nothing => return,
+            Say::Yes => Body::Yes(wire::Yes { id, key, report }),
+            Say::NotHere => Body::Refused(wire::Refused { id, key, why: why::NOT_HERE, report }),
+            Say::Failed => Body::Failed(wire::Failed { id, key, report }),
+            Say::Ended(how) => Body::Ended(wire::Ended { id, key, how: i32::from(how), report }),
+        };
+        self.send(planner, body);
+    }
+
+    fn refuse(&mut self, of: &Of, why: u32) {
+        let key = self.holder.with(&of.0, of.1).map(|l| l.key.clone()).unwrap_or_default();
+        self.holder.forget(&of.0, of.1);
+        let body = wire::Refused { id: wire_id(of.1), key, why, report: self.report() };
+        self.send(&of.0, Body::Refused(body));
+    }
+
+    fn offered(&mut self, planner: String, l: Launch) {
+        let Some(id) = l.id.map(|i| (i.epoch, i.number)) else { return };
+        let key = l.key.clone();
+        let (say, new) = self.holder.launch(&planner, id, l);
+        if !new {
+            return self.say(&planner, id, key, say);
+        }
+        let of = (planner, id);
+        self.pushed();
+        if self.line.len() >= self.world.manners.line {
+            return self.refuse(&of, why::LONG_LINE);
+        }
+        self.line.push_back(of);
+        self.look();
+    }
+
+    /// Counts offers while cold; far too many within a window push the machine over.
+    fn pushed(&mut self) {
+        let (now, m) = (self.now(), &self.world.manners);
+        if now >= self.me.started.get() + m.cold_us {
+            return self.offers.clear();
+        }
+        self.offers.push_back(now);
+        while self.offers.front().is_some_and(|&at| at <= now - m.cold_window) {
+            self.offers.pop_front();
+        }
+        if self.offers.len() > 2 * m.cold_offers {
+            self.world.auditor.borrow_mut().machine_fell(now, &self.me.name);
+            self.told(Word::Down);
+        }
+    }
+
+    fn look(&mut self) {
+        if !self.looking && !self.line.is_empty() {
+            self.looking = true;
+            self.later(self.world.manners.look_us, At::Look);
+        }
+    }
+
+    fn looked(&mut self) {
+        self.looking = false;
+        if let Some(of) = self.line.pop_front() {
+            if let Some(l) = self.holder.with(&of.0, of.1).cloned() {
+                match self.judge(&l) {
+                    Ok(()) => self.accept_task(of, l),
+                    Err(why) => self.refuse(&of, why),
+                }
+            }
+        }
+        self.look();
+    }
+
+    fn group(&self, framework: &str) -> String {
+        match self.world.manners.groups.get(framework).map(String::as_str) {
+            Some("zone") => self.me.zone.clone(),
+            Some("cell") => format!("{} {}", self.me.zone, self.me.cell),
+            _ => "all".into(),
+        }
+    }
+
+    fn judge(&mut self, l: &Launch) -> Result<(), u32> {
+        let m = &self.world.manners;
+        let kind = m.kinds.get(&l.framework);
+        if self.me.draining.get() || kind.is_some_and(|k| *k != self.me.kind) {
+            return Err(why::NOT_HERE);
+        }
+        if l.kind == "keyed" {
+            let group = self.group(&l.framework);
+            if self.world.standing.borrow().get(&(group, l.key.clone())).is_some_and(|&n| n > 0) {
+                return Err(why::NOT_HERE);
+            }
+        }
+        let most = (m.accept_cores * self.me.cores, m.accept_memory * self.me.memory);
+        let priority = m.priorities.get(&l.framework).copied().unwrap_or(0);
+        loop {
+            let asked = self.me.asked.get();
+            let (no_cores, no_memory) = (asked.0 + l.cores > most.0, asked.1 + l.memory > most.1);
+            if !no_cores && !no_memory {
+                return Ok(());
+            }
+            let lower =
+                |r: &Run| self.world.manners.priorities.get(&r.framework).copied().unwrap_or(0) < priority;
+            let victim = self.tasks.iter().find(|(_, r)| lower(r)).map(|(of, _)| of.clone());
+            let Some(of) = victim else {
+                return Err(if no_cores { why::NO_CORES } else { why::NO_MEMORY });
+            };
+            self.ends(&of, EndedHow::EndedPushedOut);
+        }
+    }
+
+    fn accept_task(&mut self, of: Of, l: Launch) {
+        if self.chance.random_bool(self.me.fails.get().clamp(0.0, 1.0)) {
+            self.holder.set(&of.0, of.1, State::Failed);
+            return self.say(&of.0, of.1, l.key, Say::Failed);
+        }
+        self.holder.set(&of.0, of.1, State::Accepted);
+        let (cores, memory, runs_us) = (self.world.uses.borrow())(&l);
+        if l.kind == "keyed" {
+            *self
+                .world
+                .standing
+                .borrow_mut()
+                .entry((self.group(&l.framework), l.key.clone()))
+                .or_insert(0) += 1;
+        }
+        let asked = self.me.asked.get();
+        self.me.asked.set((asked.0 + l.cores, asked.1 + l.memory));
+        let asks = (l.cores, l.memory);
+        let run = Run {
+            framework: l.framework,
+            service: l.service,
+            cores,
+            memory,
+            asks,
+            runs_us,
+            ends_at: 0,
+            running: false,
+        };
+        self.tasks.insert(of.clone(), run);
+        if !self.world.manners.yes_when_running {
+            self.say(&of.0, of.1, l.key, Say::Yes);
+        }
+        self.waits.push_back(of);
+        self.starts();
+    }
+
+    fn starts(&mut self) {
+        while self.starting < self.world.manners.starts {
+            let Some(of) = self.waits.pop_front() else { return };
+            let Some(run) = self.tasks.get(&of) else { continue };
+            let service = run.service;
+            let there = self.kept.contains(&service)
+                || self.tasks.values().any(|r| r.running && r.service == service);
+            let m = &self.world.manners;
+            let age = (self.now() - self.me.started.get()) as f64 / m.cold_us.max(1) as f64;
+            let pace = age.clamp(0.2, 1.0);
+            let slow = if there { 1.0 } else { m.cold_start };
+            let takes = m.start_us as f64 * slow / pace * self.chance.random_range(0.7..1.3);
+            self.starting += 1;
+            self.later(takes as i64, At::Start(of));
+        }
+    }
+
+    fn started(&mut self, of: Of) {
+        self.starting = self.starting.saturating_sub(1);
+        let now = self.now();
+        if let Some(run) = self.tasks.get_mut(&of) {
+            run.running = true;
+            run.ends_at = now + run.runs_us;
+            let (runs_us, cores, memory) = (run.runs_us, run.cores, run.memory);
+            self.me.ran.set(self.me.ran.get() + 1);
+            self.holder.set(&of.0, of.1, State::Running);
+            let key = self.holder.with(&of.0, of.1).map(|l| l.key.clone()).unwrap_or_default();
+            if self.world.manners.yes_when_running {
+                self.say(&of.0, of.1, key.clone(), Say::Yes);
+            }
+            let id = wire_id(of.1);
+            self.send(&of.0, Body::Running(wire::Running { id, key: key.clone() }));
+            for (sort, value) in [(2, cores), (3, memory)] {
+                self.send(&of.0, Body::Note(wire::Note { id, key: key.clone(), sort, value }));
+            }
+            self.later(runs_us, At::End(of));
+        }
+        self.starts();
+    }
+
+    /// A task leaves, however that came.
+    fn ends(&mut self, of: &Of, how: EndedHow) {
+        let Some(run) = self.tasks.remove(of) else { return };
+        let asked = self.me.asked.get();
+        self.me.asked.set((asked.0 - run.asks.0, asked.1 - run.asks.1));
+        if let Some(l) = self.holder.with(&of.0, of.1).cloned() {
+            if l.kind == "keyed" {
+                let mut standing = self.world.standing.borrow_mut();
+                if let Some(n) = standing.get_mut(&(self.group(&l.framework), l.key.clone())) {
+                    *n = n.saturating_sub(1);
+                }
+            }
+            self.holder.set(&of.0, of.1, State::Ended(how as u8));
+            self.say(&of.0, of.1, l.key, Say::Ended(how as u8));
+        }
+        self.kept.retain(|&s| s != run.service);
+        self.kept.push_back(run.service);
+        while self.kept.len() > self.world.manners.keeps {
+            self.kept.pop_front();
+        }
+    }
+
+    fn used(&self) -> (f64, f64) {
+        let leak = self.me.leaked.get();
+        let of = |f: fn(&Run) -> f64| self.tasks.values().filter(|r| r.running).map(f).sum::<f64>();
+        (of(|r| r.cores) + leak * self.me.cores, of(|r| r.memory) + leak * self.me.memory)
+    }
+
+    /// Cores and memory not in use, as of the last refresh, or of some time before it.
+    fn report(&self) -> Option<Report> {
+        let until = self.now() - self.me.late_reports_us.get();
+        let last = self.reports.iter().rev().find(|r| r.0 <= until).or(self.reports.front())?;
+        Some(Report { values: vec![last.1, last.2] })
+    }
+
+    fn due(&mut self, at: At) {
+        match at {
+            At::Look => self.looked(),
+            At::Start(of) => self.started(of),
+            At::End(of) => {
+                let now = self.now();
+                if self.tasks.get(&of).is_some_and(|r| r.running && r.ends_at <= now) {
+                    self.ends(&of, EndedHow::EndedDone);
+                }
+            }
+            At::Second => self.refresh(),
+        }
+    }
+
+    /// Refreshes the report, evicts where memory ran out, and tells of the task that is served worst.
+    fn refresh(&mut self) {
+        let every = self.world.manners.report_every;
+        self.later(every, At::Second);
+        while self.used().1 > self.me.memory {
+            let priority = |r: &Run| self.world.manners.priorities.get(&r.framework).copied().unwrap_or(0);
+            let over = |r: &Run| (r.memory / r.asks.1.max(0.001) * 1000.0) as i64;
+            let running = self.tasks.iter().filter(|(_, r)| r.running);
+            let Some(of) = running.min_by_key(|(_, r)| (priority(r), -over(r))).map(|(of, _)| of.clone())
+            else {
+                break;
+            };
+            self.ends(&of, EndedHow::EndedEvicted);
+        }
+        let (now, used) = (self.now(), self.used());
+        self.reports.push_back((now, self.me.cores - used.0, self.me.memory - used.1));
+        while self.reports.front().is_some_and(|r| r.0 < now - 20_000_000) {
+            self.reports.pop_front();
+        }
+        let served = (self.me.cores / used.0.max(0.001)).min(1.0);
+        if served < 0.95 && now / 1_000_000 != (now - every) / 1_000_000 {
+            let mut worst: BTreeMap<&str, &Of> = BTreeMap::new();
+            self.tasks.iter().filter(|(_, r)| r.running).for_each(|(of, _)| {
+                worst.entry(&of.0).or_insert(of);
+            });
+            for (planner, of) in worst {
+                let note = wire::Note { id: wire_id(of.1), key: String::new(), sort: 4, value: served };
+                self.send(planner, Body::Note(note));
+            }
+        }
+    }
+
+    fn told(&mut self, say: Word) {
+        match say {
+            Word::Drain(on) => {
+                self.me.draining.set(on);
+                let machine = self.me.name.clone();
+                let planners: Vec<String> = self.links.keys().cloned().collect();
+                for planner in planners {
+                    self.send(&planner, Body::Drain(wire::Drain { machine: machine.clone(), on }));
+                }
+            }
+            Word::Restart => {
+                self.stop();
+                self.begin();
+            }
+            Word::Down => {
+                self.stop();
+                self.me.up.set(false);
+            }
+            Word::Up => {
+                if !self.me.up.get() {
+                    self.me.up.set(true);
+                    self.begin();
+                }
+            }
+            Word::Flush => self.kept.clear(),
+            Word::PushOut(part) => {
+                let all: Vec<Of> = self.tasks.keys().cloned().collect();
+                for of in all {
+                    if self.chance.random_bool(part.clamp(0.0, 1.0)) {
+                        self.ends(&of, EndedHow::EndedPushedOut);
+                    }
+                }
+            }
+            Word::SendAway => {
+                let all: Vec<Of> = self.tasks.keys().cloned().collect();
+                all.iter().for_each(|of| self.ends(of, EndedHow::EndedSentAway));
+            }
+        }
+    }
+
+    /// The machine dies with all that runs; nobody is told.
+    fn stop(&mut self) {
+        self.links.clear();
+        let all: Vec<Of> = self.tasks.keys().cloned().collect();
+        all.iter().for_each(|of| self.ends(of, EndedHow::EndedStopped));
+        (self.holder, self.starting, self.looking) = (Holder::default(), 0, false);
+        self.line.clear();
+        self.waits.clear();
+        self.kept.clear();
+        self.times.retain(|_, at| matches!(at, At::Second));
+        self.me.leaked.set(0.0);
+        self.me.draining.set(false);
+        // Connections of before: cut, unless they are to look alive.
+        self.conns.retain(|conn, _| *conn <= self.me.knobs.dead_up_to.get());
+        self.me.knobs.ends.set(self.me.knobs.ends.get() + u64::from(self.me.knobs.dead_up_to.get() == 0));
+    }
+
+    fn begin(&mut self) {
+        let now = self.now();
+        self.me.started.set(now);
+        self.offers.clear();
+        self.world.auditor.borrow_mut().machine_started(now, &self.me.name);
+    }
+}
+
+/// A connection's number among those of all machines.
+fn seen_number(machine: &str, conn: u64) -> u64 {
+    let name = machine.bytes().fold(7u64, |n, b| n.wrapping_mul(31).wrapping_add(u64::from(b)));
+    name.wrapping_shl(20) ^ conn
+}
--- /dev/null
+++ b/standins/src/register.rs
@@ -0,0 +1,185 @@
+//! A stand-in register of machines: late, later still about machines that fell silent, and silent on command.
+use crate::machine::{Machine, Word, World};
+use crate::rough::{self, Knobs, Seen};
+use basaltpitch_agent::link::{self, News, Order};
+use basaltpitch_agent::session::{Event, Party};
+use basaltpitch_agent::wire::{self, Body, Entry, Readiness, Role};
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Lateness {
+    pub notice_us: i64,
+    pub silent_notice_us: i64,
+    pub period_us: i64,
+}
+
+pub struct Register {
+    pub address: String,
+    pub knobs: Rc<Knobs>,
+    /// Added to its lateness.
+    pub stale_us: Cell<i64>,
+}
+
+type Entries = BTreeMap<String, Entry>;
+
+struct Watcher {
+    orders: mpsc::Sender<Order>,
+    watches: bool,
+    /// What it was sent, by machine.
+    knows: Entries,
+}
+
+struct Inside {
+    me: Rc<Register>,
+    world: Rc<World>,
+    fleet: Vec<Rc<Machine>>,
+    late: Lateness,
+    /// What was so, and when, the newest last.
+    past: VecDeque<(i64, Entries)>,
+    silent_since: HashMap<String, i64>,
+    watchers: BTreeMap<u64, Watcher>,
+    stamp: u64,
+}
+
+/// Starts a register on a loopback port of its own.
+pub async fn start(
+    world: Rc<World>,
+    fleet: Vec<Rc<Machine>>,
+    late: Lateness,
+) -> std::io::Result<Rc<Register>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?.to_string();
+    let me = Rc::new(Register { address, knobs: Rc::new(Knobs::default()), stale_us: Cell::new(0) });
+    let inside = Inside {
+        me: me.clone(),
+        world,
+        fleet,
+        late,
+        past: VecDeque::new(),
+        silent_since: HashMap::new(),
+        watchers: BTreeMap::new(),
+        stamp: 0,
+    };
+    tokio::task::spawn_local(inside.run(listener));
+    Ok(me)
+}
+
+impl Inside {
+    async fn run(mut self, listener: TcpListener) {
+        let (news, mut inbox) = mpsc::channel(1024);
+        let mut period = tokio::time::interval(std::time::Duration::from_micros(self.late.period_us as u64));
+        let mut conns = 0;
+        loop {
+            tokio::select! {
+                _ = period.tick() => self.look(),
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        conns += 1;
+                        self.accept(stream, conns, news.clone());
+                    }
+                }
+                Some((conn, news)) = inbox.recv() => self.hear(conn, news),
+            }
+        }
+    }
+
+    fn accept(&mut self, stream: tokio::net::TcpStream, conn: u64, news: mpsc::Sender<(u64, News)>) {
+        let _ = stream.set_nodelay(true);
+        let (outer, inner) = tokio::io::duplex(256 * 1024);
+        let (orders, inbox) = mpsc::channel(1024);
+        self.watchers.insert(conn, Watcher { orders, watches: false, knows: Entries::new() });
+        let (world, clock) = (self.world.clone(), self.world.clock);
+        let show = move |hello: &wire::Hello, seen: Seen| {
+            if let Seen::Wrote { body: Body::List(list) } = seen {
+                let life = (hello.name.clone(), hello.epoch);
+                world.auditor.borrow_mut().register_sent(world.clock.now(), &life, list);
+            }
+        };
+        tokio::task::spawn_local(rough::carry(stream, inner, conn, self.me.knobs.clone(), clock, show));
+        let me = Party { role: Role::Register, name: "register".into(), epoch: 1, link: conn };
+        tokio::task::spawn_local(link::run(outer, me, clock, inbox, news, move |n| (conn, n)));
+    }
+
+    fn hear(&mut self, conn: u64, news: News) {
+        match news {
+            News::Session(Event::Frame(Body::Watch(watch))) => {
+                if let Some(w) = self.watchers.get_mut(&conn) {
+                    w.watches = watch.on;
+                }
+                self.send(conn, true);
+            }
+            News::Session(Event::Frame(Body::Fetch(_))) => self.send(conn, true),
+            News::Session(Event::Frame(Body::Drain(drain))) => {
+                if let Some(machine) = self.fleet.iter().find(|m| m.name == drain.machine) {
+                    machine.tell(Word::Drain(drain.on));
+                }
+            }
+            News::Ended { .. } => {
+                self.watchers.remove(&conn);
+            }
+            News::Session(_) => {}
+        }
+    }
+
+    /// Writes down how things are, and tells watchers how they were.
+    fn look(&mut self) {
+        let now = self.world.clock.now();
+        let mut entries = Entries::new();
+        for m in &self.fleet {
+            let silent = !m.up.get() || m.vanished.get();
+            let since = if silent { *self.silent_since.entry(m.name.clone()).or_insert(now) } else { now };
+            if !silent {
+                self.silent_since.remove(&m.name);
+            }
+            let readiness = match silent {
+                true if now >= since + self.late.silent_notice_us => Readiness::Gone,
+                _ if m.draining.get() => Readiness::Draining,
+                _ => Readiness::Ready,
+            };
+            let asked = m.asked.get();
+            let entry = Entry {
+                machine: m.name.clone(),
+                address: m.address.clone(),
+                kind: m.kind.clone(),
+                zone: m.zone.clone(),
+                cell: m.cell,
+                readiness: readiness as i32,
+                started_us: m.started.get(),
+                cores_left: m.cores - asked.0,
+                memory_left: m.memory - asked.1,
+            };
+            entries.insert(m.name.clone(), entry);
+        }
+        self.past.push_back((now, entries));
+        let shown = now - self.late.notice_us - self.me.stale_us.get();
+        while self.past.len() > 1 && self.past[1].0 <= shown && self.past[0].0 < now - 30_000_000 {
+            self.past.pop_front();
+        }
+        let watching: Vec<u64> = self.watchers.iter().filter(|w| w.1.watches).map(|w| *w.0).collect();
+        watching.into_iter().for_each(|conn| self.send(conn, false));
+    }
+
+    fn shown(&self) -> Option<&Entries> {
+        let until = self.world.clock.now() - self.late.notice_us - self.me.stale_us.get();
+        self.past.iter().rev().find(|p| p.0 <= until).or(self.past.front()).map(|p| &p.1)
+    }
+
+    fn send(&mut self, conn: u64, whole: bool) {
+        let Some(shown) = self.shown().cloned() else { return };
+        self.stamp += 1;
+        let stamp = self.stamp;
+        let Some(w) = self.watchers.get_mut(&conn) else { return };
+        let news = shown.iter().filter(|(name, e)| whole || w.knows.get(*name) != Some(e));
+        let entries: Vec<Entry> = news.map(|(_, e)| e.clone()).collect();
+        if whole || !entries.is_empty() {
+            let list = wire::List { whole, stamp, entries };
+            if w.orders.try_send(Order::Send(Body::List(list), None)).is_ok() {
+                w.knows = shown;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/rough.rs
@@ -0,0 +1,131 @@
+//! A rough link: it carries bytes between a socket and a stand-in's conversation, and spoils them on command.
+//! What comes and goes on the socket is shown to the auditor frame by frame, when it is read or written there.
+use basaltpitch_agent::framing::Cutter;
+use basaltpitch_agent::link::Clock;
+use basaltpitch_agent::wire::{Body, Hello, Role};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
+use tokio::net::TcpStream;
+
+/// What is wrong with the links of one stand-in. Times are the clock's, in microseconds; 0: nothing.
+#[derive(Debug, Default)]
+pub struct Knobs {
+    /// Until then bytes of both directions are held back; then they come all at once.
+    pub held_until: Cell<i64>,
+    /// Only links to planners whose name has this number are held, where it is set.
+    pub held_for: Cell<u64>,
+    pub no_beats_until: Cell<i64>,
+    /// Until then nothing is read from the socket.
+    pub deaf_until: Cell<i64>,
+    /// Connections numbered up to this one neither read nor write any more, and stay open.
+    pub dead_up_to: Cell<u64>,
+    /// So many frames more are written; the next is cut in the middle, and the connection with it.
+    pub cut_after: Cell<Option<u32>>,
+    /// A count that ends all connections when it goes up.
+    pub ends: Cell<u64>,
+}
+
+/// Something seen on a socket.
+pub enum Seen<'a> {
+    Read { body: &'a Body, late: bool },
+    Wrote { body: &'a Body },
+    Gone,
+}
+
+/// A number for a planner's name as a bit of a set.
+pub fn bit_of(name: &str) -> u64 {
+    let number: String = name.chars().filter(char::is_ascii_digit).collect();
+    1 << (number.parse::<u64>().unwrap_or(0) % 64)
+}
+
+/// Carries bytes until either end is gone. `show` is called with the peer's hello, once it is known.
+pub async fn carry(
+    mut socket: TcpStream,
+    mut inner: DuplexStream,
+    conn: u64,
+    knobs: Rc<Knobs>,
+    clock: Clock,
+    show: impl Fn(&Hello, Seen),
+) {
+    let (mut reads, mut writes) = (Cutter::default(), Cutter::default());
+    let (mut to_inner, mut to_socket): (Vec<u8>, Vec<u8>) = (Vec::new(), Vec::new());
+    let (mut from_socket, mut from_inner) = (vec![0; 32 * 1024], vec![0; 32 * 1024]);
+    let mut peer: Option<Hello> = None;
+    let mut deaf_before = 0;
+    let ends = knobs.ends.get();
+    'on: loop {
+        let now = clock.now();
+        if knobs.ends.get() != ends {
+            break;
+        }
+        let dead = conn <= knobs.dead_up_to.get();
+        let whom = peer.as_ref().filter(|p| p.role == Role::Planner as i32).map_or(0, |p| bit_of(&p.name));
+        let concerned = knobs.held_for.get() == 0 || knobs.held_for.get() & whom != 0;
+        let held = dead || (now < knobs.held_until.get() && concerned);
+        let deaf = now < knobs.deaf_until.get();
+        if deaf {
+            deaf_before = now;
+        }
+        if !held {
+            if !to_inner.is_empty() && inner.write_all(&std::mem::take(&mut to_inner)).await.is_err() {
+                break;
+            }
+            if !to_socket.is_empty() && socket.write_all(&std::mem::take(&mut to_socket)).await.is_err() {
+                break;
+            }
+        }
+        // Knobs are turned at any time: a look every few milliseconds is often enough.
+        let look = tokio::time::sleep(std::time::Duration::from_millis(5));
+        let (mut reader, mut writer) = socket.split();
+        tokio::select! {
+            got = reader.read(&mut from_socket), if !deaf => {
+                let Ok(n) = got else { break };
+                if n == 0 {
+                    break;
+                }
+                reads.feed(&from_socket[..n]);
+                to_inner.extend_from_slice(&from_socket[..n]);
+                while let Some((_, body)) = reads.cut() {
+                    if let Some(Body::Hello(hello)) = &body {
+                        peer = Some(hello.clone());
+                    }
+                    if let (Some(peer), Some(body)) = (&peer, &body) {
+                        let late = deaf_before > 0 && clock.now() < deaf_before + 500_000;
+                        show(peer, Seen::Read { body, late });
+                    }
+                }
+            }
+            got = inner.read(&mut from_inner) => {
+                let Ok(n) = got else { break };
+                if n == 0 {
+                    break;
+                }
+                writes.feed(&from_inner[..n]);
+                while let Some((bytes, body)) = writes.cut() {
+                    if matches!(body, Some(Body::Heartbeat(_))) && now < knobs.no_beats_until.get() {
+                        continue;
+                    }
+                    if let Some(left) = knobs.cut_after.get() {
+                        knobs.cut_after.set(left.checked_sub(1));
+                        if left == 0 {
+                            let _ = writer.write_all(&bytes[..bytes.len() / 2]).await;
+                            break 'on;
+                        }
+                    }
+                    to_socket.extend_from_slice(&bytes);
+                    if let (Some(peer), Some(body), false) = (&peer, &body, dead) {
+                        show(peer, Seen::Wrote { body });
+                    }
+                }
+            }
+            () = look, if held || deaf || dead => {}
+            () = tokio::time::sleep(std::time::Duration::from_millis(50)) => {}
+        }
+    }
+    if let Some(peer) = &peer {
+        show(peer, Seen::Gone);
+    }
+    // What was read before the end still comes in, however late: the receiver must cope with it.
+    let _ = inner.write_all(&to_inner).await;
+}
