--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -190,6 +190,24 @@
     }
 }
 
+/// The terms that an installation's text sets.
+pub fn terms_of(text: &str) -> Terms {
+    let site = basaltpitch_records::installation::load_texts(&[("site.rec", text)]);
+    terms(&site.map_err(|e| e.1).expect("an installation in order").all)
+}
+
+/// What the stand-ins of an installation share.
+pub fn world(installation: &Installation, load: Rc<Load>) -> Rc<World> {
+    let all = &installation.all;
+    Rc::new(World {
+        clock: Clock::start(),
+        auditor: RefCell::new(Auditor::new(terms(all))),
+        manners: manners(all, all.get("day").unwrap_or(all)),
+        standing: RefCell::new(HashMap::new()),
+        uses: RefCell::new(day::uses(installation, load)),
+    })
+}
+
 /// Runs a drill to its end.
 pub fn run(how: How) -> io::Result<Verdict> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -202,13 +220,7 @@
     let seed = how.seed.unwrap_or(day.number("seed").unwrap_or(1.0) as u64);
     let mut chance = StdRng::seed_from_u64(seed);
     let load = Rc::new(Load::default());
-    let world = Rc::new(World {
-        clock: Clock::start(),
-        auditor: RefCell::new(Auditor::new(terms(&all))),
-        manners: manners(&all, &day),
-        standing: RefCell::new(HashMap::new()),
-        uses: RefCell::new(day::uses(&how.installation, load.clone())),
-    });
+    let world = world(&how.installation, load.clone());
     let fleet = start_fleet(&all, &day, &world, &mut chance).await?;
     let time = |path: &str| day.time(path).unwrap_or(0);
     let late = Lateness {
@@ -343,13 +355,8 @@
     let gap = |t: &Settled, chance: &mut StdRng| Exp::new(rate(t)).map_or(1.0, |e| e.sample(chance));
     let mut next: Vec<f64> = sources.iter().map(|t| gap(t, chance)).collect();
     let mut wanted = 0;
-    loop {
-        let Some((i, at)) = next.iter().copied().enumerate().min_by(|a, b| a.1.total_cmp(&b.1)) else {
-            break;
-        };
-        if at >= length {
-            break;
-        }
+    let soonest = |next: &[f64]| next.iter().copied().enumerate().min_by(|a, b| a.1.total_cmp(&b.1));
+    while let Some((i, at)) = soonest(&next).filter(|x| x.1 < length) {
         tokio::time::sleep_until(start + Duration::from_secs_f64(at)).await;
         let t = &sources[i];
         next[i] = at + gap(t, chance);
