Measure the path beside the bare decisions; stand-in machines from the command line

Need: the cost of the path must be known, and an operator wants to try commands without a fleet. Change: measure (highest rate, latency under an open loop, memory, the bare module told the same events), machine (stand-ins with a register), a drill that fails when a stand-in or a planner ends by itself; the auditor's index of open launches.

--- a/agent/src/link.rs
+++ b/agent/src/link.rs
@@ -48,6 +48,9 @@
     },
 }
 
+/// Bytes that are read at once.
+const READ: usize = 16 * 1024;
+
 /// Runs a session over a stream until it ends. Orders come and news go by bounded channels; while the owner does
 /// not take the news, the peer is granted nothing more.
 pub async fn run<S, N>(
@@ -61,7 +64,7 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let mut session = Session::new(me, clock.now());
-    let mut buffer = vec![0; 64 * 1024];
+    let mut buffer = vec![0; READ];
     let mut why = String::from("the owner of the link left");
     'on: loop {
         while let Some(event) = session.event() {
--- a/agent/tests/session.rs
+++ b/agent/tests/session.rs
@@ -2,8 +2,8 @@
 use basaltpitch_agent::health::State;
 use basaltpitch_agent::session::{Event, Party, Session, BEAT, MOST_HELD, WINDOW};
 use basaltpitch_agent::wire::{Body, Frame, Heartbeat, Hello, Probe, Role, Told};
-use prost::Message;
 use proptest::prelude::*;
+use prost::Message;
 
 fn party(role: Role, name: &str) -> Party {
     Party { role, name: name.into(), epoch: 1, link: 1 }
@@ -101,14 +101,20 @@
 fn what_is_no_frame_is_refused_with_what_was_found_and_expected() {
     let greet = hello(1, Role::Machine as i32, "m");
     let cases: [(&[&[u8]], &str); 8] = [
-        (&[b"GET / HTTP/1.1\r\n\r\n"], "a peer without hello: a frame of over 1048576 bytes was announced; expected fewer"),
+        (
+            &[b"GET / HTTP/1.1\r\n\r\n"],
+            "a peer without hello: a frame of over 1048576 bytes was announced; expected fewer",
+        ),
         (&[&[0, 0, 0, 3, 9, 9, 9]], "that are no frame"),
         (&[&hello(2, Role::Machine as i32, "m")], "hello: version 2; expected 1"),
         (&[&hello(1, 77, "m")], "hello: no role or no name"),
         (&[&raw(Body::Probe(Probe { number: 1 }))], "a frame before the hello; expected a hello first"),
         (&[&greet, &greet], "m: a second hello; expected one a connection"),
         (&[&greet, &[0, 0, 0, 4, 0x9a, 0x7d, 0x01, 0x00]], "a frame of a kind that version 1 does not know"),
-        (&[&greet, &raw(Body::Heartbeat(Heartbeat { seq: 0, seen: 0 }))], "heartbeat 0 after 0; expected a higher number"),
+        (
+            &[&greet, &raw(Body::Heartbeat(Heartbeat { seq: 0, seen: 0 }))],
+            "heartbeat 0 after 0; expected a higher number",
+        ),
     ];
     for (bytes, want) in cases {
         let said = said_to(bytes);
--- a/audit/src/lib.rs
+++ b/audit/src/lib.rs
@@ -112,6 +112,8 @@
     offers: HashMap<String, Vec<i64>>,
     killed: HashMap<Life, i64>,
     on_conn: HashMap<u64, Vec<(AskId, usize)>>,
+    /// Launches by planner and machine since its last inventory, and those that it held then.
+    open_on: HashMap<(Life, String), Vec<(AskId, usize)>>,
     breaches: Vec<Breach>,
     tally: Tally,
 }
@@ -131,6 +133,7 @@
             offers: HashMap::new(),
             killed: HashMap::new(),
             on_conn: HashMap::new(),
+            open_on: HashMap::new(),
             breaches: Vec::new(),
             tally: Tally::default(),
         }
@@ -271,11 +274,16 @@
                 let there: HashSet<u64> =
                     i.held.iter().filter_map(|h| Some(h.launch.as_ref()?.id?.number)).collect();
                 // A launch that was read before and is not in it has ended, or was never taken in: it runs no more.
-                let of = |s: &&mut Sent| s.machine == machine && !s.over && !s.said_yes;
-                let mine = self.launches.iter_mut().filter(|(id, _)| id.0 == *life);
-                for sent in mine.flat_map(|(_, all)| all.iter_mut()).filter(of) {
-                    if !there.contains(&sent.number) {
+                let open = self.open_on.remove(&(life.clone(), machine.to_owned())).unwrap_or_default();
+                for (ask, number) in open {
+                    let sent = &mut self.launches.get_mut(&ask).expect("kept together")[number];
+                    if !sent.over && !sent.said_yes && !there.contains(&sent.number) {
                         sent.end = Some((sent.end.map_or(at, |e| e.0), End::NeverRan));
+                    } else if !sent.over {
+                        self.open_on
+                            .entry((life.clone(), machine.to_owned()))
+                            .or_default()
+                            .push((ask, number));
                     }
                 }
             }
@@ -366,12 +374,16 @@
             number: id.number,
         });
         let number = all.len() - 1;
+        self.open_on.entry((life.clone(), machine.to_owned())).or_default().push((ask.clone(), number));
         self.on_conn.entry(conn).or_default().push((ask, number));
     }
 
     /// Rule 3.
     fn judge_drain(&mut self, at: i64, machine: &str, life: &Life, l: &Launch, late: bool) {
-        let told = self.told.get(&(life.clone(), machine.to_owned())).and_then(|t| t.iter().flatten().min().copied());
+        let told = self
+            .told
+            .get(&(life.clone(), machine.to_owned()))
+            .and_then(|t| t.iter().flatten().min().copied());
         if let Some(told) = told.filter(|t| !late && at > t + self.terms.drain_grace + self.terms.slack) {
             let what = format!(
                 "launched on {machine} {} ms after the planner was told that it drains or is gone",
--- a/audit/tests/forged.rs
+++ b/audit/tests/forged.rs
@@ -1,5 +1,7 @@
 //! Forged traffic that breaks each rule, and its neighbour that just keeps it.
-use basaltpitch_agent::wire::{Answer, Body, Cancel, Entry, Launch, LaunchId, List, Readiness, Refused, Submit, Yes};
+use basaltpitch_agent::wire::{
+    Answer, Body, Cancel, Entry, Launch, LaunchId, List, Readiness, Refused, Submit, Yes,
+};
 use basaltpitch_audit::{Auditor, Framework, Life, Spot, Terms};
 use std::collections::HashMap;
 
--- a/cli/src/ask.rs
+++ b/cli/src/ask.rs
@@ -93,7 +93,7 @@
     runtime.block_on(talk)
 }
 
-fn question(planner: &str, body: Body) -> Result<Value, Failure> {
+pub fn question(planner: &str, body: Body) -> Result<Value, Failure> {
     match ask(planner, Role::Operator, body, Duration::from_secs(10))? {
         Body::Told(told) => serde_json::from_str(&told.json).map_err(|e| Failure::Failed(e.to_string())),
         _ => Err(Failure::Failed(format!("{planner}: another answer than was asked for"))),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,6 +1,8 @@
 //! `basaltpitch`: the planner service and the operators' command line.
 mod ask;
 mod drill;
+mod machine;
+mod measure;
 mod serve;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -31,6 +33,8 @@
 enum Command {
     /// Run a planner
     Serve(serve::Serve),
+    /// Run stand-in machines, with a register that lists them
+    Machine(machine::Machine),
     /// Play a scripted day of trouble on loopback and judge the five rules by the traffic
     Drill(drill::Drill),
     /// Check an installation's files
@@ -48,6 +52,8 @@
     Planner(ask::At),
     /// Drain a machine, or take that back
     Drain(ask::Drain),
+    /// Measure what one planner carries, beside the bare decisions on the same events
+    Measure(measure::Measure),
     /// Tell the decisions what a recording holds and compare their calls
     Replay { file: PathBuf },
 }
@@ -78,6 +84,7 @@
     let json = cli.output == Output::Json;
     let done = match cli.command {
         Command::Serve(serve) => serve.run(json),
+        Command::Machine(machine) => machine.run(json),
         Command::Drill(drill) => drill.run(json),
         Command::Check { files } => check(&files, json),
         Command::Submit(submit) => submit.run(json),
@@ -85,6 +92,7 @@
         Command::Machines(at) => at.run("machines", json),
         Command::Planner(at) => at.run("planner", json),
         Command::Drain(drain) => drain.run(json),
+        Command::Measure(measure) => measure.run(json),
         Command::Replay { file } => replay(&file, json),
     };
     match done {
--- a/ledger/tests/every_state.rs
+++ b/ledger/tests/every_state.rs
@@ -115,7 +115,8 @@
                 Act::Resolved { outcome, over, .. } => {
                     self.module = match self.module {
                         Module::Out { on, unsure } if !over => {
-                            let ran = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+                            let ran =
+                                !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
                             Module::Waiting { unsure: unsure.or(ran.then_some(on)) }
                         }
                         Module::Waiting { unsure } if !over => Module::Waiting { unsure },
@@ -315,7 +316,8 @@
                 w.carry(acts);
             });
         }
-        let out = self.ledger.record(&0).and_then(|r| r.copies.iter().find(|c| c.state == CopyState::Out).copied());
+        let out =
+            self.ledger.record(&0).and_then(|r| r.copies.iter().find(|c| c.state == CopyState::Out).copied());
         if let Some(copy) = out {
             with(&|w| {
                 let mut acts = Vec::new();
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -12,7 +12,9 @@
 use basaltpitch_agent::dial::{Dials, Pace};
 use basaltpitch_agent::wire::{self, Body};
 use basaltpitch_indices::{number_of, Lodgers};
-use basaltpitch_ledger::{Act, Answer, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Promises, PROMISES};
+use basaltpitch_ledger::{
+    Act, Answer, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Promises, PROMISES,
+};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
--- a/planner/src/recording.rs
+++ b/planner/src/recording.rs
@@ -161,6 +161,35 @@
     }
 }
 
+/// The time that a new module takes for all that a recording holds, reading the recording not counted.
+pub fn time_bare(file: impl BufRead) -> Result<std::time::Duration, String> {
+    let mut lines = file.lines().skip(1).map_while(Result::ok);
+    let start = lines.next().ok_or("found no start; expected one in line 2")?;
+    let mut planner = begin(&start)?;
+    let told: Vec<Line> = lines.filter_map(|l| serde_json::from_str(&l).ok()).collect();
+    let began = std::time::Instant::now();
+    for line in &told {
+        planner.clock(line.at);
+        line.told.tell(&mut planner)?;
+        planner.host.text.clear();
+    }
+    Ok(began.elapsed())
+}
+
+/// A new module, started as a recording's second line says.
+fn begin(start: &str) -> Result<Planner<Echo>, String> {
+    let start: Start = serde_json::from_str(start)
+        .map_err(|e| format!("line 2: found {e}; expected seed, now and given in JSON"))?;
+    let given = start.given.into_iter().map(|(name, value)| {
+        let value = match value {
+            Plain::Number(n) => Value::Number(n),
+            Plain::Text(t) => Value::Text(t),
+        };
+        (name, value)
+    });
+    Ok(Planner::new(Echo::default(), start.seed, start.now, given.collect()))
+}
+
 /// Tells a new module what a recording holds and compares its calls. An error names the line, what was found
 /// and what was expected. A last line that was cut off by a sudden end is passed over.
 pub fn replay(file: impl BufRead) -> Result<Replayed, String> {
@@ -175,16 +204,7 @@
         return Err(format!("line 1: found {first:?}; expected {FIRST:?}"));
     }
     let (_, start) = next("how the module was started")?;
-    let start: Start = serde_json::from_str(&start)
-        .map_err(|e| format!("line 2: found {e}; expected seed, now and given in JSON"))?;
-    let given = start.given.into_iter().map(|(name, value)| {
-        let value = match value {
-            Plain::Number(n) => Value::Number(n),
-            Plain::Text(t) => Value::Text(t),
-        };
-        (name, value)
-    });
-    let mut planner = Planner::new(Echo::default(), start.seed, start.now, given.collect());
+    let mut planner = begin(&start)?;
     let (mut told, mut calls) = (0, 0);
     let mut due: std::collections::VecDeque<String> =
         std::mem::take(&mut planner.host.text).lines().map(str::to_owned).collect();
--- a/planner/tests/net/mod.rs
+++ b/planner/tests/net/mod.rs
@@ -212,7 +212,8 @@
                     match (last, mark) {
                         (Some((&link, w)), _) => {
                             if let Body::Launch(l) = &body {
-                                let text = format!("launch {} of {} on {}", l.id.unwrap().number, l.key, mac.name);
+                                let text =
+                                    format!("launch {} of {} on {}", l.id.unwrap().number, l.key, mac.name);
                                 let name = mac.name.clone();
                                 w.to_machine.push_back(body.clone());
                                 self.note(text);
@@ -220,7 +221,8 @@
                                 self.auditor.machine_got(now, &name, conn(m, link), &life, &body, false);
                             } else {
                                 w.to_machine.push_back(body.clone());
-                                let (now, life, name) = (self.now, self.life(), self.machines[m].name.clone());
+                                let (now, life, name) =
+                                    (self.now, self.life(), self.machines[m].name.clone());
                                 self.auditor.machine_got(now, &name, conn(m, link), &life, &body, false);
                             }
                         }
@@ -234,8 +236,13 @@
                     match body {
                         Body::Answer(a) => {
                             let words = ["?", "placed", "declined", "aborted"][a.kind as usize];
-                            let on = if a.machine.is_empty() { String::new() } else { format!(" on {}", a.machine) };
-                            let why = if a.reason.is_empty() { String::new() } else { format!(" ({})", a.reason) };
+                            let on = if a.machine.is_empty() {
+                                String::new()
+                            } else {
+                                format!(" on {}", a.machine)
+                            };
+                            let why =
+                                if a.reason.is_empty() { String::new() } else { format!(" ({})", a.reason) };
                             self.note(format!("{} asking {}: {words}{on}{why}", a.key, a.ask));
                             self.answers.entry((self.epoch, a.key, a.ask)).or_default().push((now, a.kind));
                         }
@@ -281,7 +288,8 @@
                 numbers.push(l.id.unwrap().number);
             }
         }
-        let text = format!("link {link} to {} is cut, {} launches unsent", self.machines[m].name, numbers.len());
+        let text =
+            format!("link {link} to {} is cut, {} launches unsent", self.machines[m].name, numbers.len());
         self.note(text);
         let id = |number: &u64| wire_id((self.epoch, *number));
         for number in &numbers {
@@ -322,7 +330,8 @@
                 accepted: state != State::Queued,
                 running: state == State::Running,
             });
-            w.to_planner.push_back(Body::Inventory(wire::Inventory { held: held.collect(), draining: mac.draining }));
+            w.to_planner
+                .push_back(Body::Inventory(wire::Inventory { held: held.collect(), draining: mac.draining }));
             return;
         }
         let Some(body) = w.to_machine.pop_front() else { return };
@@ -429,7 +438,8 @@
             let n = self.standing.entry(l.key.clone()).or_insert(0);
             *n += 1;
             if *n > 1 {
-                self.twice = Some(format!("{} runs twice, on {} too, at {}", l.key, self.machines[m].name, self.now));
+                self.twice =
+                    Some(format!("{} runs twice, on {} too, at {}", l.key, self.machines[m].name, self.now));
             }
         }
         self.say(m, said(id, Say::Yes));
--- a/planner/tests/sockets.rs
+++ b/planner/tests/sockets.rs
@@ -143,7 +143,10 @@
             assert!(said.contains("expected"), "{said:?}");
         }
         let mut machine = Talk::to(&address, Role::Machine).await;
-        assert_eq!(machine.hear().await, Err("the peer said goodbye: role: expected an owner or an operator".into()));
+        assert_eq!(
+            machine.hear().await,
+            Err("the peer said goodbye: role: expected an owner or an operator".into())
+        );
         let mut lost = Talk::to(&address, Role::Owner).await;
         lost.say(Body::Probe(wire::Probe { number: 1 })).await;
         assert!(lost.hear().await.unwrap_err().contains("expected submit, withdraw, drain or query"));
@@ -182,7 +185,8 @@
         let mut second = Talk::to(&address, Role::Owner).await;
         second.say(submit("tally", 1, "big", 2.0)).await;
         assert_eq!(second.answer().await, a);
-        let (_, tally) = world.auditor.replace(basaltpitch_audit::Auditor::new(drill::terms_of(SITE))).finish(0);
+        let (_, tally) =
+            world.auditor.replace(basaltpitch_audit::Auditor::new(drill::terms_of(SITE))).finish(0);
         assert_eq!(tally.launches, 1);
     });
 }
@@ -195,7 +199,11 @@
         owner.say(submit("page", 1, "small", 1.0)).await;
         owner.answer().await;
         let mut operator = Talk::to(&address, Role::Operator).await;
-        for (what, about, want) in [("machines", "", "\"ucac\""), ("task", "page", "\"repeatable\""), ("planner", "", "\"submitted\":1")] {
+        for (what, about, want) in [
+            ("machines", "", "\"ucac\""),
+            ("task", "page", "\"repeatable\""),
+            ("planner", "", "\"submitted\":1"),
+        ] {
             operator.say(Body::Query(wire::Query { what: what.into(), about: about.into() })).await;
             match operator.hear().await {
                 Ok(Body::Told(told)) => assert!(told.json.contains(want), "{what}: {}", told.json),
@@ -203,7 +211,11 @@
             }
         }
         operator.say(Body::Query(wire::Query { what: "weather".into(), about: String::new() })).await;
-        assert!(operator.hear().await.unwrap_err().contains("found \"weather\"; expected planner, machines, tasks or task"));
+        assert!(operator
+            .hear()
+            .await
+            .unwrap_err()
+            .contains("found \"weather\"; expected planner, machines, tasks or task"));
     });
 }
 
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -20,6 +20,7 @@
 use std::pin::Pin;
 use std::process::Stdio;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
@@ -208,8 +209,15 @@
     })
 }
 
+/// A stand-in that panicked proves nothing any more: the drill fails.
+static PANICKED: AtomicBool = AtomicBool::new(false);
+
 /// Runs a drill to its end.
 pub fn run(how: How) -> io::Result<Verdict> {
+    std::panic::set_hook(Box::new(|info| {
+        PANICKED.store(true, Ordering::Relaxed);
+        eprintln!("a stand-in failed: {info}");
+    }));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, play(how))
 }
@@ -274,9 +282,15 @@
     for p in 0..planners {
         let child = processes.all[p].child.borrow_mut().take();
         if let Some(mut child) = child {
+            if let Ok(Some(status)) = child.try_wait() {
+                return Err(io::Error::other(format!("planner-{p} ended by itself: {status}")));
+            }
             let _ = child.kill().await;
         }
     }
+    if PANICKED.load(Ordering::Relaxed) {
+        return Err(io::Error::other("a stand-in failed, so the day proves nothing"));
+    }
     let ran = fleet.iter().map(|m| m.ran.get()).sum();
     let auditor = world.auditor.replace(Auditor::new(terms(&all)));
     let (breaches, traffic) = auditor.finish(now);
@@ -299,6 +313,30 @@
     })
 }
 
+fn size_of(all: &Settled, kind: &str) -> (f64, f64) {
+    let sized = all.list("kinds").iter().find(|k| k.text("name") == Some(kind));
+    sized.map_or((1.0, 1.0), |k| (k.number("cores").unwrap_or(1.0), k.number("memory").unwrap_or(1.0)))
+}
+
+/// Stand-in machines of one kind in one zone.
+pub async fn machines(
+    all: &Settled,
+    world: &Rc<World>,
+    kind: &str,
+    zone: &str,
+    count: usize,
+) -> io::Result<Vec<Rc<machine::Machine>>> {
+    let mut fleet = Vec::new();
+    for i in 0..count {
+        let place = (zone.to_owned(), i as u32 / 4);
+        let name = format!("machine-{i}");
+        fleet.push(
+            machine::start(world.clone(), name, place, kind.to_owned(), size_of(all, kind), i as u64).await?,
+        );
+    }
+    Ok(fleet)
+}
+
 async fn start_fleet(
     all: &Settled,
     day: &Settled,
@@ -311,9 +349,7 @@
     let mut next_cell = 0;
     for group in day.list("machines") {
         let (kind, zone) = (group.text("kind").unwrap_or(""), group.text("zone").unwrap_or(""));
-        let sized = all.list("kinds").iter().find(|k| k.text("name") == Some(kind));
-        let size = sized
-            .map_or((1.0, 1.0), |k| (k.number("cores").unwrap_or(1.0), k.number("memory").unwrap_or(1.0)));
+        let size = size_of(all, kind);
         for i in 0..group.number("count").unwrap_or(1.0) as usize {
             if i % cell_of == 0 {
                 next_cell += 1;
--- a/standins/src/machine.rs
+++ b/standins/src/machine.rs
@@ -264,12 +264,16 @@
 
     fn hear(&mut self, conn: u64, news: News) {
         match news {
-            News::Session(Event::Up(party)) if party.role == Role::Planner => {
+            News::Session(Event::Up(party))
+                if party.role == Role::Planner && self.conns.contains_key(&conn) =>
+            {
                 if !self.holder.hello(&party.name, party.epoch, party.link) {
                     return self.close(conn, "an older life or link of this planner");
                 }
-                let orders = self.conns[&conn].0.clone();
-                self.conns.get_mut(&conn).expect("it stands").1 = Some(party.clone());
+                // A connection of before a restart is gone from here, though its news still come.
+                let Some((orders, of)) = self.conns.get_mut(&conn) else { return };
+                *of = Some(party.clone());
+                let orders = orders.clone();
                 if let Some((old, _)) = self.links.insert(party.name.clone(), (conn, orders)) {
                     self.close(old, "a newer link came");
                 }
--- a/standins/src/owner.rs
+++ b/standins/src/owner.rs
@@ -176,8 +176,13 @@
     fn take_back(&mut self, key: &str) {
         let Some(work) = self.works.get(key) else { return };
         let body = wire::Withdraw { key: key.to_owned(), ask: work.wish.submit.ask };
-        if let Some(orders) = &self.orders {
-            let _ = orders.try_send(Order::Send(Body::Withdraw(body), None));
+        match (&self.orders, &work.of) {
+            (Some(orders), _) => {
+                let _ = orders.try_send(Order::Send(Body::Withdraw(body), None));
+            }
+            // No connection, so no answer can come.
+            (None, Some(life)) => self.world.auditor.borrow_mut().owner_cut(life, key, work.wish.submit.ask),
+            (None, None) => {}
         }
         self.seens.borrow_mut().given_up += 1;
     }
