--- a/cli/src/ask.rs
+++ b/cli/src/ask.rs
@@ -43,7 +43,8 @@
     framework: String,
     #[arg(long, default_value = "")]
     tenant: String,
-    #[arg(long, default_value_t = 1)]
+    /// The service that the task belongs to: its tasks count as alike
+    #[arg(long)]
     service: u64,
     #[arg(long)]
     cores: f64,
@@ -100,18 +101,31 @@
     }
 }
 
-/// A list as a table, a single record as lines; nested values as JSON.
-fn show(value: &Value, json: bool) {
-    let plain = |v: &Value| match v {
+/// Columns that come first in a table, in this order.
+const FIRST: [&str; 12] =
+    ["machine", "key", "ask", "state", "link", "drains", "own", "cores", "c", "b", "ucac", "memory"];
+
+fn plain(v: &Value) -> String {
+    match v {
         Value::String(s) => s.clone(),
         Value::Null => "-".into(),
+        Value::Array(items) if items.is_empty() => "-".into(),
+        Value::Array(items) => items.iter().map(plain).collect::<Vec<_>>().join(", "),
+        Value::Object(fields) if fields.contains_key("machine") => {
+            format!("{} {}", plain(&v["machine"]), plain(&v["state"]))
+        }
         v => v.to_string(),
-    };
+    }
+}
+
+/// A list as a table, a single record as lines.
+fn show(value: &Value, json: bool) {
     match value {
         _ if json => println!("{value}"),
         Value::Array(rows) => {
             let Some(Value::Object(first)) = rows.first() else { return println!("none") };
-            let names: Vec<&String> = first.keys().collect();
+            let mut names: Vec<&String> = first.keys().collect();
+            names.sort_by_key(|n| FIRST.iter().position(|f| f == n).unwrap_or(FIRST.len()));
             let cells: Vec<Vec<String>> =
                 rows.iter().map(|r| names.iter().map(|n| plain(&r[n.as_str()])).collect()).collect();
             let wide = |i: usize| cells.iter().map(|r| r[i].len()).chain([names[i].len()]).max().unwrap_or(0);
@@ -123,7 +137,7 @@
             line(names.iter().map(|n| n.as_str()).collect());
             cells.iter().for_each(|r| line(r.iter().map(String::as_str).collect()));
         }
-        Value::Object(fields) => fields.iter().for_each(|(k, v)| println!("{k:14}{}", plain(v))),
+        Value::Object(fields) => fields.iter().for_each(|(k, v)| println!("{k:16}{}", plain(v))),
         v => println!("{}", plain(v)),
     }
 }
