--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -28,7 +28,10 @@
 fn wrong_input_ends_with_code_2_and_names_its_place() {
     let wrong = file("wrong.rec", "rules: {\n\tanswer_grace: 3\n}\n");
     let cases: [(&[&str], &str); 7] = [
-        (&["check", "days/campus.rec", &wrong], "wrong.rec:2:16: rules.answer_grace: found 3; expected 250ms or a time"),
+        (
+            &["check", "days/campus.rec", &wrong],
+            "wrong.rec:2:16: rules.answer_grace: found 3; expected 250ms or a time",
+        ),
         (&["check", "days/no-such.rec"], "cannot be read"),
         (&["drill", "days/campus.rec"], "found no field day"),
         (
