--- a/planner/tests/recordings.rs
+++ b/planner/tests/recordings.rs
@@ -22,7 +22,7 @@
 fn recorded() -> String {
     let (sink, pieces) = channel();
     let who = Who { name: "p".into(), epoch: 1, seed: 3, register: "r".into() };
-    let mut core = Core::new(who, net::given(), 5_000_000, Some(Box::new(Sink(sink))));
+    let mut core = Core::new(who, net::given(), 50_000_000, Some(Box::new(Sink(sink))));
     let entry = |n: u32| wire::Entry {
         machine: format!("m{n}"),
         address: "a".into(),
@@ -31,14 +31,14 @@
         started_us: 1,
         ..wire::Entry::default()
     };
-    core.register_up(5_000_000);
+    core.register_up(50_000_000);
     let list = wire::List { whole: true, stamp: 1, entries: (0..3).map(entry).collect() };
-    core.register_frame(5_000_000, Body::List(list)).unwrap();
-    core.clock(5_000_000);
+    core.register_frame(50_000_000, Body::List(list)).unwrap();
+    core.clock(50_000_000);
     while let Some(out) = core.next_out() {
         if let Out::Dial { peer, link, name, .. } = out {
-            if core.machine_up(5_001_000, peer, link, &name, 1) {
-                core.machine_frame(5_002_000, peer, link, Body::Inventory(wire::Inventory::default()))
+            if core.machine_up(50_001_000, peer, link, &name, 1) {
+                core.machine_frame(50_002_000, peer, link, Body::Inventory(wire::Inventory::default()))
                     .unwrap();
             }
         }
@@ -54,9 +54,9 @@
             time_left_us: 6_000_000,
             ..wire::Submit::default()
         };
-        core.conn_frame(5_010_000 + n as i64, 1, Body::Submit(submit)).unwrap();
+        core.conn_frame(50_010_000 + n as i64, 1, Body::Submit(submit)).unwrap();
     }
-    core.clock(20_000_000);
+    core.clock(65_000_000);
     drop(core);
     String::from_utf8(pieces.iter().flatten().collect()).unwrap()
 }
@@ -75,7 +75,7 @@
 #[test]
 fn the_first_call_that_differs_is_named() {
     let text = recorded();
-    let launch = text.lines().position(|l| l.starts_with("> launch")).unwrap();
+    let launch = text.lines().position(|l| l.starts_with("> launch")).expect(&text);
     let forged: Vec<String> = text
         .lines()
         .enumerate()
--- /dev/null
+++ b/store/tests/files.rs
@@ -0,0 +1,94 @@
+//! What becomes of a file that was cut, overwritten or never ours.
+use basaltpitch_store::{Fault, Found, Snapshot, Store};
+use proptest::prelude::*;
+use std::path::PathBuf;
+
+fn file(name: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder.join("planner.store")
+}
+
+fn full(path: &PathBuf) {
+    let (store, found) = Store::open(path).unwrap();
+    assert_eq!(found, Found::Nothing);
+    store.put("tenants", 1, 5, b"the first").unwrap();
+    store.put("tenants", 1, 7, &[42; 5000]).unwrap();
+}
+
+#[test]
+fn a_snapshot_outlives_its_planner_and_the_newest_stands() {
+    let path = file("outlives");
+    full(&path);
+    let (store, found) = Store::open(&path).unwrap();
+    assert_eq!(found, Found::Ours);
+    assert_eq!(store.get("tenants", 1).unwrap(), Some(Snapshot { at: 7, bytes: vec![42; 5000] }));
+    assert_eq!(store.get("quotas", 1).unwrap(), None);
+}
+
+#[test]
+fn another_format_is_named() {
+    let path = file("format");
+    full(&path);
+    let (store, _) = Store::open(&path).unwrap();
+    let said = store.get("tenants", 2).unwrap_err();
+    assert!(matches!(said, Fault::Snapshot { .. }));
+    assert_eq!(said.to_string(), "snapshot tenants: found format 1; expected format 2");
+}
+
+#[test]
+fn a_foreign_file_is_set_aside_with_its_bytes() {
+    let path = file("foreign");
+    for n in 0..2 {
+        std::fs::write(&path, "this is a letter to a friend").unwrap();
+        let (store, found) = Store::open(&path).unwrap();
+        let Found::SetAside { to, why } = found else { panic!("{found:?}") };
+        assert!(to.ends_with(format!("planner.set-aside-{n}")) && !why.is_empty());
+        assert_eq!(std::fs::read(to).unwrap(), b"this is a letter to a friend");
+        assert_eq!(store.get("tenants", 1).unwrap(), None);
+    }
+}
+
+#[test]
+fn a_place_that_cannot_be_written_is_an_error_with_its_path() {
+    let path = file("nowhere").join("no/such/folder.store");
+    let said = Store::open(&path).err().unwrap().to_string();
+    assert!(said.contains("no/such/folder.store"), "{said}");
+}
+
+/// After any damage: the newest snapshot, or nothing, or a word about it. Never half of one.
+fn damaged(name: &str, damage: impl Fn(&mut Vec<u8>)) -> Result<(), TestCaseError> {
+    let path = file(name);
+    full(&path);
+    let mut bytes = std::fs::read(&path).unwrap();
+    damage(&mut bytes);
+    std::fs::write(&path, &bytes).unwrap();
+    let (store, _) = Store::open(&path).unwrap();
+    match store.get("tenants", 1) {
+        Ok(Some(s)) => prop_assert!(s.bytes == vec![42; 5000] || s.bytes == b"the first", "half a snapshot"),
+        Ok(None) | Err(_) => {}
+    }
+    // And it goes on from there.
+    store.put("tenants", 1, 9, b"the next").unwrap();
+    prop_assert_eq!(store.get("tenants", 1).unwrap().unwrap().bytes, b"the next");
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 40, rng_seed: proptest::test_runner::RngSeed::Fixed(1), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_file_cut_anywhere(share in 0.0f64..1.0) {
+        damaged("cut", |bytes| bytes.truncate((bytes.len() as f64 * share) as usize))?;
+    }
+
+    #[test]
+    fn bytes_overwritten_anywhere(share in 0.0f64..1.0, with in any::<u8>(), n in 1usize..600) {
+        damaged("overwritten", |bytes| {
+            let at = (bytes.len() as f64 * share) as usize;
+            let end = (at + n).min(bytes.len());
+            bytes[at..end].fill(with);
+        })?;
+    }
+}
