--- /dev/null
+++ b/directory/src/entry.rs
@@ -0,0 +1,146 @@
+//! Reads one entry of the directory, with care: what is huge, doubled, missing or binary where text is wanted is an
+//! error that names the entry, the attribute, what was found and what was expected.
+use basaltpitch_tenants::{Entry, Id, What};
+use std::collections::HashMap;
+
+/// The attributes that are read, and the object classes that tell what an entry is. Compared without case.
+#[derive(Clone, Debug)]
+pub struct Names {
+    pub id: String,
+    pub stamp: String,
+    pub class: String,
+    pub name: String,
+    pub login: String,
+    pub member: String,
+    pub share: String,
+    pub tenant_class: String,
+    pub group_class: String,
+    pub person_class: String,
+}
+
+impl Default for Names {
+    fn default() -> Self {
+        let of = |s: &str| s.to_owned();
+        Names {
+            id: of("entryUUID"),
+            stamp: of("modifyTimestamp"),
+            class: of("objectClass"),
+            name: of("cn"),
+            login: of("uid"),
+            member: of("member"),
+            share: of("basaltpitchShare"),
+            tenant_class: of("basaltpitchTenant"),
+            group_class: of("groupOfNames"),
+            person_class: of("inetOrgPerson"),
+        }
+    }
+}
+
+impl Names {
+    pub fn all(&self) -> Vec<String> {
+        let all = [&self.id, &self.stamp, &self.class, &self.name, &self.login, &self.member, &self.share];
+        all.iter().map(|s| (*s).clone()).collect()
+    }
+}
+
+/// An entry as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Raw {
+    pub dn: String,
+    pub texts: HashMap<String, Vec<String>>,
+    pub bytes: HashMap<String, Vec<Vec<u8>>>,
+}
+
+const MOST_NAME: usize = 500;
+const MOST_MEMBERS: usize = 1_000_000;
+
+/// A distinguished name in one spelling: without case, and without blanks around its parts.
+pub fn plain_dn(dn: &str) -> String {
+    let mut plain = String::with_capacity(dn.len());
+    let mut chars = dn.trim().chars().peekable();
+    while let Some(c) = chars.next() {
+        match c {
+            '\\' => {
+                plain.push(c);
+                plain.extend(chars.next());
+            }
+            ',' | '=' | '+' => {
+                let kept = plain.trim_end().len();
+                // A blank that was escaped stays.
+                if !plain[..kept].ends_with('\\') {
+                    plain.truncate(kept);
+                }
+                plain.push(c);
+                while chars.peek().is_some_and(|c| *c == ' ') {
+                    chars.next();
+                }
+            }
+            c => plain.extend(c.to_lowercase()),
+        }
+    }
+    plain
+}
+
+pub fn read(names: &Names, raw: Raw) -> Result<Entry, String> {
+    let shown: String = raw.dn.chars().take(80).collect();
+    let wrong = |attribute: &str, found: String, expected: &str| {
+        format!("entry {shown:?}: {attribute}: found {found}; expected {expected}")
+    };
+    if raw.dn.is_empty() || raw.dn.len() > 10 * MOST_NAME {
+        return Err(wrong("its name", format!("{} bytes", raw.dn.len()), "1 to 5000"));
+    }
+    let values = |name: &str| -> Result<&[String], String> {
+        if raw.bytes.keys().any(|k| k.eq_ignore_ascii_case(name)) {
+            return Err(wrong(name, "bytes that are no text".into(), "text in UTF-8"));
+        }
+        let found = raw.texts.iter().find(|(k, _)| k.eq_ignore_ascii_case(name));
+        Ok(found.map_or(&[], |(_, v)| v.as_slice()))
+    };
+    let one = |name: &str| -> Result<Option<&str>, String> {
+        match values(name)? {
+            [] => Ok(None),
+            [value] if !value.is_empty() && value.len() <= MOST_NAME => Ok(Some(value)),
+            [value] => Err(wrong(name, format!("{} bytes", value.len()), "1 to 500")),
+            more => Err(wrong(name, format!("{} values", more.len()), "one")),
+        }
+    };
+    let need = |name: &str| one(name)?.ok_or_else(|| wrong(name, "none".into(), "one value"));
+    let id = need(&names.id)?;
+    let digits: String = id.chars().filter(|c| *c != '-').collect();
+    let number =
+        u128::from_str_radix(&digits, 16).ok().filter(|_| digits.len() == 32 && !digits.starts_with('+'));
+    let id = Id(number.ok_or_else(|| wrong(&names.id, format!("{id:?}"), "32 hex digits"))?);
+    let stamp = need(&names.stamp)?;
+    if stamp.len() < 15 || !stamp.ends_with('Z') || !stamp[..14].bytes().all(|b| b.is_ascii_digit()) {
+        return Err(wrong(&names.stamp, format!("{stamp:?}"), "a time such as 20261201134500Z"));
+    }
+    let classes = values(&names.class)?;
+    let is = |class: &str| classes.iter().any(|c| c.eq_ignore_ascii_case(class));
+    let (what, name) = if is(&names.tenant_class) {
+        let share = one(&names.share)?.unwrap_or("0");
+        let number = share.parse::<f64>().ok().filter(|s| (0.0..=1.0).contains(s));
+        let share =
+            number.ok_or_else(|| wrong(&names.share, format!("{share:?}"), "a number from 0 to 1"))?;
+        (What::Tenant { share }, need(&names.name)?)
+    } else if is(&names.group_class) {
+        // A group may have several names; it goes by its distinguished name.
+        (What::Group, values(&names.name)?.first().map_or("", String::as_str))
+    } else if is(&names.person_class) {
+        (What::Person, need(&names.login)?)
+    } else {
+        let expected = format!("{}, {} or {}", names.tenant_class, names.group_class, names.person_class);
+        return Err(wrong(&names.class, format!("{} values", classes.len()), &expected));
+    };
+    let members = values(&names.member)?;
+    if members.len() > MOST_MEMBERS {
+        return Err(wrong(&names.member, format!("{} values", members.len()), "a million at most"));
+    }
+    Ok(Entry {
+        id,
+        what,
+        name: name.to_owned(),
+        dn: plain_dn(&raw.dn),
+        members: members.iter().map(|m| plain_dn(m)).collect(),
+        stamp: stamp.to_owned(),
+    })
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! nothing of the planner's insides. `rough` spoils their links, `day` plays a scripted day of trouble, `drill` starts
 //! planners as processes of their own and judges the day by the traffic.
 pub mod day;
+pub mod directory;
 pub mod drill;
 pub mod machine;
 pub mod owner;
