--- /dev/null
+++ b/directory/tests/over_a_restart.rs
@@ -0,0 +1,84 @@
+//! The whole way on loopback: a directory is swept, remembered in a store, goes away, and a successor serves on.
+use basaltpitch_directory::{sweep, Names, Source};
+use basaltpitch_standins::directory::{self, laid, Trouble};
+use basaltpitch_store::{Found, Store};
+use basaltpitch_tenants::health::{State, PACE};
+use basaltpitch_tenants::keeper::{Keeper, FORMAT};
+use basaltpitch_tenants::rights::{Asks, Terms};
+use basaltpitch_tenants::trust::CAUTION;
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+const S: i64 = 1_000_000;
+
+#[test]
+fn a_successor_serves_on_from_the_store_while_the_directory_is_away() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("restart");
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        std::fs::write(folder.join("secret"), "s").unwrap();
+        let there = directory::start("s").await.unwrap();
+        let stamp: (&str, &[&str]) = ("modifyTimestamp", &["20261201120000Z"]);
+        *there.entries.borrow_mut() = vec![
+            laid(
+                "uid=asha,dc=x",
+                &[
+                    ("objectClass", &["inetOrgPerson"]),
+                    ("uid", &["asha"]),
+                    ("entryUUID", &["00000000000000000000000000000001"]),
+                    stamp,
+                ],
+            ),
+            laid(
+                "cn=orders,dc=x",
+                &[
+                    ("objectClass", &["basaltpitchTenant"]),
+                    ("cn", &["orders"]),
+                    ("entryUUID", &["00000000000000000000000000000002"]),
+                    ("member", &["uid=asha,dc=x"]),
+                    stamp,
+                ],
+            ),
+        ];
+        let source = Source {
+            urls: vec![format!("ldap://{}", there.address)],
+            starttls: false,
+            bind_dn: "cn=p".into(),
+            password: folder.join("secret"),
+            base: "dc=x".into(),
+            filter: "(objectClass=*)".into(),
+            names: Names::default(),
+            page: 100,
+            patience: Duration::from_millis(300),
+        };
+        let path = folder.join("planner.store");
+        let terms = Terms { place_stale: true, ..Terms::default() };
+        let asks = Asks::Submit { tenant: "orders" };
+        {
+            let (store, _) = Store::open(&path).unwrap();
+            let mut k = Keeper::new(1, 0, 1, None, PACE, CAUTION).unwrap();
+            assert_eq!(k.next(0), Some(0));
+            k.swept(S, sweep(&source, 0).await.ok().map(|s| s.sweep));
+            assert!(k.rule(S, &terms, "asha", asks).may);
+            let (at, bytes) = k.memory().unwrap();
+            store.put("tenants", FORMAT, at, &bytes).unwrap();
+        }
+        there.trouble.set(Trouble::Stalls);
+        let (store, found) = Store::open(&path).unwrap();
+        assert_eq!(found, Found::Ours);
+        let kept = store.get("tenants", FORMAT).unwrap().unwrap();
+        let mut k = Keeper::new(2, 400 * S, 1, Some((kept.at, &kept.bytes)), PACE, CAUTION).unwrap();
+        assert_eq!(k.next(400 * S), Some(0));
+        k.swept(401 * S, sweep(&source, 0).await.ok().map(|s| s.sweep));
+        let r = k.rule(401 * S, &terms, "asha", asks);
+        assert_eq!((r.may, r.stale, k.state(401 * S)), (true, true, State::Stale));
+        there.trouble.set(Trouble::None);
+        let at = k.next_at();
+        assert_eq!(k.next(at), Some(0));
+        assert_eq!(k.swept(at, sweep(&source, 0).await.ok().map(|s| s.sweep)), [], "nothing changed");
+        assert_eq!(k.rule(at, &terms, "asha", asks).stale, false);
+    });
+}
--- a/tenants/src/lib.rs
+++ b/tenants/src/lib.rs
@@ -4,6 +4,7 @@
 //! `trust` what of a sweep is believed, `rights` who may do what. Times are whole microseconds.
 pub mod closure;
 pub mod health;
+pub mod keeper;
 pub mod rights;
 pub mod trust;
 
@@ -11,16 +12,17 @@
 use closure::Closure;
 use fnv::FnvHashMap;
 use roaring::RoaringBitmap;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The directory's stable id of an entry (`entryUUID`), whatever its name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Id(pub u128);
 
 /// When an entry last changed, as the directory says; later ones are larger. Generalized time in text sorts so.
 pub type Stamp = String;
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum What {
     /// A tenant is a group with a share of the fleet.
     Tenant {
@@ -31,7 +33,7 @@
 }
 
 /// One entry of the directory.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     pub id: Id,
     pub what: What,
