Read-through: what nothing used leaves the auditor and the made-up network

Cause: a field for connections that no caller asked for, a branch written twice. Change: removed, folded. Measured: the same tests pass, with the same traces.

--- a/audit/src/lib.rs
+++ b/audit/src/lib.rs
@@ -87,7 +87,6 @@
     /// Read by a machine that had stopped reading for a while: when it was sent is not known.
     late: bool,
     machine: String,
-    conn: u64,
     time_out: i64,
     end: Option<(i64, End)>,
     said_yes: bool,
@@ -366,7 +365,6 @@
             at,
             late,
             machine: machine.to_owned(),
-            conn,
             time_out: l.time_out_us,
             end: None,
             said_yes: false,
@@ -543,9 +541,4 @@
         );
         self.breach(2, s.at, life, key, what);
     }
-
-    /// Connections that a launch was read on, for tests.
-    pub fn conns(&self) -> impl Iterator<Item = u64> + '_ {
-        self.launches.values().flatten().map(|s| s.conn)
-    }
 }
--- a/planner/tests/net/mod.rs
+++ b/planner/tests/net/mod.rs
@@ -61,7 +61,6 @@
 #[derive(Default)]
 pub struct Wire {
     pub to_machine: VecDeque<Body>,
-    /// Launches at the end of `to_machine` that were not handed to the stream yet.
     pub to_planner: VecDeque<Body>,
     /// The machine's hello has been read by the planner.
     pub up: bool,
@@ -211,20 +210,13 @@
                     let last = mac.links.iter_mut().rev().find(|(_, w)| w.up && !w.cut);
                     match (last, mark) {
                         (Some((&link, w)), _) => {
+                            w.to_machine.push_back(body.clone());
+                            let name = mac.name.clone();
                             if let Body::Launch(l) = &body {
-                                let text =
-                                    format!("launch {} of {} on {}", l.id.unwrap().number, l.key, mac.name);
-                                let name = mac.name.clone();
-                                w.to_machine.push_back(body.clone());
-                                self.note(text);
-                                let (now, life) = (self.now, self.life());
-                                self.auditor.machine_got(now, &name, conn(m, link), &life, &body, false);
-                            } else {
-                                w.to_machine.push_back(body.clone());
-                                let (now, life, name) =
-                                    (self.now, self.life(), self.machines[m].name.clone());
-                                self.auditor.machine_got(now, &name, conn(m, link), &life, &body, false);
+                                self.note(format!("launch {} of {} on {name}", l.id.unwrap().number, l.key));
                             }
+                            let (now, life) = (self.now, self.life());
+                            self.auditor.machine_got(now, &name, conn(m, link), &life, &body, false);
                         }
                         (None, Some(number)) => self.core.launch_unsent(self.now, number),
                         _ => {}
@@ -311,7 +303,7 @@
 
     /// The machine reads one frame of a link, perhaps of an old one.
     pub fn machine_reads(&mut self, m: usize, link: u64) {
-        let (epoch, now) = (self.epoch, self.now);
+        let epoch = self.epoch;
         let mac = &mut self.machines[m];
         let Some(w) = mac.links.get_mut(&link).filter(|w| !w.dead) else { return };
         if !w.hello_to_machine {
@@ -385,7 +377,6 @@
         if let Some(id) = ended {
             self.ends(m, id, EndedHow::EndedStopped);
         }
-        let _ = now;
     }
 
     /// A frame from the machine, on its newest link if the machine still takes that for standing.
