Out of descriptors, only accepting rests; links and timers go on

Cause: the actor slept when a connection could not be accepted, and with it every link. Change: accepting alone pauses. Measured: the socket tests pass.

--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -16,6 +16,8 @@
 /// News that wait for the actor, and orders that wait for a link.
 const INBOX: usize = 1024;
 const ORDERS: usize = 4096;
+/// How long no connection is accepted after one could not be, in microseconds.
+const REST: i64 = 10_000;
 /// News that are handled before orders go out.
 const BATCH: usize = 256;
 
@@ -65,10 +67,13 @@
     let core = Core::new(who, given, clock.now(), record);
     let mut a = Actor { core, clock, me, peers: HashMap::new(), conns: HashMap::new(), first };
     let mut conns = 0;
+    // Out of descriptors, no connection is accepted for a moment; everything else goes on.
+    let mut rests_until = 0;
     tokio::pin!(stop);
     loop {
         a.carry_out();
-        let wake = clock.at(a.core.next_at());
+        let rests = clock.now() < rests_until;
+        let wake = clock.at(if rests { a.core.next_at().min(rests_until) } else { a.core.next_at() });
         tokio::select! {
             biased;
             () = &mut stop => break,
@@ -87,15 +92,14 @@
                     a.hear(from, news);
                 }
             }
-            accepted = listener.accept() => match accepted {
+            accepted = listener.accept(), if !rests => match accepted {
                 Ok((stream, _)) => {
                     conns += 1;
                     a.accept(stream, conns, later.clone());
                 }
                 Err(e) => {
-                    // Out of descriptors, say: those who are connected are served on.
                     tracing::warn!(error = %e, "a connection could not be accepted");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    rests_until = clock.now() + REST;
                 }
             },
         }
