One writer of the module's calls serves recording and replay

Cause: the replay's host handed each of ten calls on to the recording's writer, one by one. Change: the writer owns its text and is the host itself. Measured: nothing is slower or faster; recordings, socket and hard-case tests pass unchanged.

--- a/planner/src/hands.rs
+++ b/planner/src/hands.rs
@@ -46,7 +46,7 @@
     pub wishes: VecDeque<Wish>,
     pub timers: Wheel<Due>,
     /// The module's calls as text, where they are recorded.
-    pub calls: Option<String>,
+    pub calls: Option<Words>,
     buffer: Vec<Act<Key>>,
 }
 
@@ -58,7 +58,7 @@
             acts: VecDeque::new(),
             wishes: VecDeque::new(),
             timers: Wheel::new(now),
-            calls: records.then(String::new),
+            calls: records.then(Words::default),
             buffer: Vec::new(),
         }
     }
@@ -71,17 +71,18 @@
         answer
     }
 
-    fn call(&mut self, write: impl FnOnce(&mut String)) {
+    fn call(&mut self, write: impl FnOnce(&mut Words)) {
         if let Some(calls) = &mut self.calls {
             write(calls);
         }
     }
 }
 
-/// How each call of the module is written in a recording.
-pub struct Words<'a>(pub &'a mut String);
+/// How each call of the module is written in a recording, a line each.
+#[derive(Default)]
+pub struct Words(pub String);
 
-impl Host for Words<'_> {
+impl Host for Words {
     fn launch(&mut self, task: usize, machine: usize, time_out_us: i64) {
         let _ = writeln!(self.0, "> launch {task} on {machine} for {time_out_us}");
     }
@@ -116,43 +117,43 @@
 
 impl Host for Hands {
     fn launch(&mut self, task: usize, machine: usize, time_out_us: i64) {
-        self.call(|calls| Words(calls).launch(task, machine, time_out_us));
+        self.call(|words| words.launch(task, machine, time_out_us));
         self.on_ledger(|ledger, acts| ledger.launched(task, machine, time_out_us, acts));
     }
     /// The ledger called the launch back already, when it told the module that the task is over.
     fn cancel(&mut self, task: usize, launch: u32) {
-        self.call(|calls| Words(calls).cancel(task, launch));
+        self.call(|words| words.cancel(task, launch));
     }
     fn decline(&mut self, task: usize, retry_after_us: i64) {
-        self.call(|calls| Words(calls).decline(task, retry_after_us));
+        self.call(|words| words.decline(task, retry_after_us));
         self.on_ledger(|ledger, acts| ledger.declined(task, retry_after_us, acts));
     }
     fn abort(&mut self, task: usize) {
-        self.call(|calls| Words(calls).abort(task));
+        self.call(|words| words.abort(task));
         self.on_ledger(|ledger, acts| ledger.aborted(task, acts));
     }
     fn move_task(&mut self, task: usize) {
-        self.call(|calls| Words(calls).move_task(task));
+        self.call(|words| words.move_task(task));
         self.on_ledger(|ledger, acts| ledger.moved(task, acts));
     }
     fn probe(&mut self, machine: usize) {
-        self.call(|calls| Words(calls).probe(machine));
+        self.call(|words| words.probe(machine));
         self.wishes.push_back(Wish::Probe(machine));
     }
     fn watch(&mut self, on: bool) {
-        self.call(|calls| Words(calls).watch(on));
+        self.call(|words| words.watch(on));
         self.wishes.push_back(Wish::Watch(on));
     }
     fn fetch(&mut self) {
-        self.call(|calls| Words(calls).fetch());
+        self.call(|words| words.fetch());
         self.wishes.push_back(Wish::Fetch);
     }
     fn timer(&mut self, after_us: i64, token: u64) {
-        self.call(|calls| Words(calls).timer(after_us, token));
+        self.call(|words| words.timer(after_us, token));
         self.timers.set(self.now + after_us, Due::Module(token));
     }
     fn log(&mut self, text: &str) {
-        self.call(|calls| Words(calls).log(text));
+        self.call(|words| words.log(text));
         tracing::info!(text, "the placing module");
     }
 }
--- a/planner/src/recording.rs
+++ b/planner/src/recording.rs
@@ -10,7 +10,7 @@
 //! `replay` tells a new module the same and compares its calls, line by line.
 use crate::hands::Words;
 use crate::told::Told;
-use basaltpitch::host::{Given, Host, Value};
+use basaltpitch::host::{Given, Value};
 use basaltpitch::logic::Planner;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -84,9 +84,9 @@
     }
 
     /// The calls that the module made since.
-    pub fn calls(&mut self, calls: &mut String) {
-        self.piece.push_str(calls);
-        calls.clear();
+    pub fn calls(&mut self, calls: &mut Words) {
+        self.piece.push_str(&calls.0);
+        calls.0.clear();
         if self.piece.len() >= 16 * 1024 {
             self.flush();
         }
@@ -123,44 +123,6 @@
     Differs { line: usize, recorded: String, now: String },
 }
 
-#[derive(Default)]
-struct Echo {
-    text: String,
-}
-
-impl Host for Echo {
-    fn launch(&mut self, task: usize, machine: usize, time_out_us: i64) {
-        Words(&mut self.text).launch(task, machine, time_out_us);
-    }
-    fn cancel(&mut self, task: usize, launch: u32) {
-        Words(&mut self.text).cancel(task, launch);
-    }
-    fn decline(&mut self, task: usize, retry_after_us: i64) {
-        Words(&mut self.text).decline(task, retry_after_us);
-    }
-    fn abort(&mut self, task: usize) {
-        Words(&mut self.text).abort(task);
-    }
-    fn move_task(&mut self, task: usize) {
-        Words(&mut self.text).move_task(task);
-    }
-    fn probe(&mut self, machine: usize) {
-        Words(&mut self.text).probe(machine);
-    }
-    fn watch(&mut self, on: bool) {
-        Words(&mut self.text).watch(on);
-    }
-    fn fetch(&mut self) {
-        Words(&mut self.text).fetch();
-    }
-    fn timer(&mut self, after_us: i64, token: u64) {
-        Words(&mut self.text).timer(after_us, token);
-    }
-    fn log(&mut self, text: &str) {
-        Words(&mut self.text).log(text);
-    }
-}
-
 /// The time that a new module takes for all that a recording holds, reading the recording not counted.
 pub fn time_bare(file: impl BufRead) -> Result<std::time::Duration, String> {
     let mut lines = file.lines().skip(1).map_while(Result::ok);
@@ -171,13 +133,13 @@
     for line in &told {
         planner.clock(line.at);
         line.told.tell(&mut planner)?;
-        planner.host.text.clear();
+        planner.host.0.clear();
     }
     Ok(began.elapsed())
 }
 
 /// A new module, started as a recording's second line says.
-fn begin(start: &str) -> Result<Planner<Echo>, String> {
+fn begin(start: &str) -> Result<Planner<Words>, String> {
     let start: Start = serde_json::from_str(start)
         .map_err(|e| format!("line 2: found {e}; expected seed, now and given in JSON"))?;
     let given = start.given.into_iter().map(|(name, value)| {
@@ -187,7 +149,7 @@
         };
         (name, value)
     });
-    Ok(Planner::new(Echo::default(), start.seed, start.now, given.collect()))
+    Ok(Planner::new(Words::default(), start.seed, start.now, given.collect()))
 }
 
 /// Tells a new module what a recording holds and compares its calls. An error names the line, what was found
@@ -207,7 +169,7 @@
     let mut planner = begin(&start)?;
     let (mut told, mut calls) = (0, 0);
     let mut due: std::collections::VecDeque<String> =
-        std::mem::take(&mut planner.host.text).lines().map(str::to_owned).collect();
+        std::mem::take(&mut planner.host.0).lines().map(str::to_owned).collect();
     while let Some((n, line)) = lines.next() {
         let line = line.map_err(|e| format!("line {n}: {e}"))?;
         if line.starts_with("> ") {
@@ -235,7 +197,7 @@
         planner.clock(parsed.at);
         parsed.told.tell(&mut planner).map_err(|e| format!("line {n}: found {e}"))?;
         told += 1;
-        due.extend(std::mem::take(&mut planner.host.text).lines().map(str::to_owned));
+        due.extend(std::mem::take(&mut planner.host.0).lines().map(str::to_owned));
     }
     Ok(Replayed::Same { told, calls })
 }
