--- a/agent/src/session.rs
+++ b/agent/src/session.rs
@@ -25,6 +25,8 @@
     pub name: String,
     pub epoch: u64,
     pub link: u64,
+    /// Owners and operators: on whose behalf they ask.
+    pub login: String,
 }
 
 /// What a conversation tells its caller.
@@ -103,6 +105,7 @@
             epoch: me.epoch,
             link: me.link,
             credit: WINDOW,
+            login: me.login.clone(),
         };
         session.put_out(&Body::Hello(hello).into(), None);
         session
@@ -168,8 +171,12 @@
         if role == Role::Unknown || hello.name.is_empty() || hello.name.len() > 200 {
             return self.refuse("hello: no role or no name of 1 to 200 bytes; expected both");
         }
+        if hello.login.len() > 200 {
+            return self
+                .refuse(&format!("hello: login of {} bytes; expected 200 at most", hello.login.len()));
+        }
         self.credit = hello.credit.min(16 * WINDOW);
-        let peer = Party { role, name: hello.name, epoch: hello.epoch, link: hello.link };
+        let peer = Party { role, name: hello.name, epoch: hello.epoch, link: hello.link, login: hello.login };
         self.peer = Some(peer.clone());
         self.events.push_back((Event::Up(peer), 0));
         self.release();
--- a/agent/tests/session.rs
+++ b/agent/tests/session.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 
 fn party(role: Role, name: &str) -> Party {
-    Party { role, name: name.into(), epoch: 1, link: 1 }
+    Party { role, name: name.into(), epoch: 1, link: 1, login: String::new() }
 }
 
 fn pair() -> (Session, Session) {
@@ -36,7 +36,15 @@
 }
 
 fn hello(version: u32, role: i32, name: &str) -> Vec<u8> {
-    raw(Body::Hello(Hello { version, role, name: name.into(), epoch: 1, link: 1, credit: WINDOW }))
+    raw(Body::Hello(Hello {
+        version,
+        role,
+        name: name.into(),
+        epoch: 1,
+        link: 1,
+        credit: WINDOW,
+        login: String::new(),
+    }))
 }
 
 /// What a session says to a stranger's bytes.
--- a/audit/tests/forged.rs
+++ b/audit/tests/forged.rs
@@ -72,6 +72,7 @@
         runs_for_us: S,
         time_out_us: 3 * S,
         kind: String::new(),
+        tenant_id: String::new(),
     };
     let conn = machine.bytes().map(u64::from).sum();
     a.machine_got(at, machine, conn, &life(), &Body::Launch(launch), false);
--- a/cli/src/ask.rs
+++ b/cli/src/ask.rs
@@ -8,11 +8,14 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-#[derive(clap::Args)]
+#[derive(clap::Args, Clone)]
 pub struct At {
     /// Where the planner listens
     #[arg(long, default_value = "127.0.0.1:7410")]
-    planner: String,
+    pub planner: String,
+    /// The login on whose behalf it is asked
+    #[arg(long = "as", default_value = "", env = "BASALTPITCH_LOGIN")]
+    pub login: String,
 }
 
 #[derive(clap::Args)]
@@ -62,7 +65,8 @@
 }
 
 /// Connects, sends one frame and gives back the first answer.
-fn ask(planner: &str, role: Role, body: Body, within: Duration) -> Result<Body, Failure> {
+fn ask(at: &At, role: Role, body: Body, within: Duration) -> Result<Body, Failure> {
+    let At { planner, login } = at;
     let failed = |e: String| Failure::Failed(format!("{planner}: {e}"));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| failed(e.to_string()))?;
@@ -70,7 +74,13 @@
         let stream = TcpStream::connect(planner).await.map_err(|e| failed(format!("no connection: {e}")))?;
         let (orders, inbox) = mpsc::channel(16);
         let (news, mut heard) = mpsc::channel(16);
-        let me = Party { role, name: format!("command-{}", std::process::id()), epoch: 1, link: 1 };
+        let me = Party {
+            role,
+            name: format!("command-{}", std::process::id()),
+            epoch: 1,
+            link: 1,
+            login: login.clone(),
+        };
         let run = link::run(stream, me, Clock::start(), inbox, news, |n| n);
         let wait = async {
             orders.send(Order::Send(body, None)).await.map_err(|_| failed("the connection ended".into()))?;
@@ -94,16 +104,32 @@
     runtime.block_on(talk)
 }
 
-pub fn question(planner: &str, body: Body) -> Result<Value, Failure> {
-    match ask(planner, Role::Operator, body, Duration::from_secs(10))? {
+pub fn question(at: &At, body: Body) -> Result<Value, Failure> {
+    match ask(at, Role::Operator, body, Duration::from_secs(10))? {
         Body::Told(told) => serde_json::from_str(&told.json).map_err(|e| Failure::Failed(e.to_string())),
-        _ => Err(Failure::Failed(format!("{planner}: another answer than was asked for"))),
+        _ => Err(Failure::Failed(format!("{}: another answer than was asked for", at.planner))),
     }
 }
 
 /// Columns that come first in a table, in this order.
-const FIRST: [&str; 12] =
-    ["machine", "key", "ask", "state", "link", "drains", "own", "cores", "c", "b", "ucac", "memory"];
+const FIRST: [&str; 16] = [
+    "tenant",
+    "was",
+    "login",
+    "may_submit",
+    "machine",
+    "key",
+    "ask",
+    "state",
+    "link",
+    "drains",
+    "own",
+    "cores",
+    "c",
+    "b",
+    "ucac",
+    "memory",
+];
 
 fn plain(v: &Value) -> String {
     match v {
@@ -119,7 +145,7 @@
 }
 
 /// A list as a table, a single record as lines.
-fn show(value: &Value, json: bool) {
+pub fn show(value: &Value, json: bool) {
     match value {
         _ if json => println!("{value}"),
         Value::Array(rows) => {
@@ -145,7 +171,7 @@
 impl At {
     pub fn run(self, what: &str, json: bool) -> Result<(), Failure> {
         let query = wire::Query { what: what.into(), about: String::new() };
-        show(&question(&self.planner, Body::Query(query))?, json);
+        show(&question(&self, Body::Query(query))?, json);
         Ok(())
     }
 }
@@ -154,7 +180,7 @@
     pub fn run(self, json: bool) -> Result<(), Failure> {
         let what = if self.key.is_some() { "task" } else { "tasks" };
         let query = wire::Query { what: what.into(), about: self.key.unwrap_or_default() };
-        show(&question(&self.at.planner, Body::Query(query))?, json);
+        show(&question(&self.at, Body::Query(query))?, json);
         Ok(())
     }
 }
@@ -162,7 +188,7 @@
 impl Drain {
     pub fn run(self, json: bool) -> Result<(), Failure> {
         let drain = wire::Drain { machine: self.machine, on: !self.off };
-        show(&question(&self.at.planner, Body::Drain(drain))?, json);
+        show(&question(&self.at, Body::Drain(drain))?, json);
         Ok(())
     }
 }
@@ -184,7 +210,7 @@
             time_left_us: (self.within * 1e6) as i64,
         };
         let within = Duration::from_secs_f64(self.within + 2.0);
-        let Body::Answer(a) = ask(&self.at.planner, Role::Owner, Body::Submit(submit), within)? else {
+        let Body::Answer(a) = ask(&self.at, Role::Owner, Body::Submit(submit), within)? else {
             return Err(Failure::Failed("another answer than was asked for".into()));
         };
         let kind = match AnswerKind::try_from(a.kind) {
@@ -194,7 +220,8 @@
         };
         let told = serde_json::json!({
             "key": a.key, "ask": a.ask, "answer": kind, "machine": a.machine, "reason": a.reason,
-            "retry_after_ms": a.retry_after_us / 1000,
+            "retry_after_ms": a.retry_after_us / 1000, "not_allowed": a.not_allowed,
+            "stale_ms": if a.stale_us < 0 { Value::Null } else { (a.stale_us / 1000).into() },
         });
         show(&told, json);
         if kind == "placed" {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod machine;
 mod measure;
 mod serve;
+mod tenants;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
@@ -41,6 +42,9 @@
     Check {
         #[arg(required = true)]
         files: Vec<PathBuf>,
+        /// Ask each server of the directory for everything, too; no planner is touched
+        #[arg(long)]
+        directory: bool,
     },
     /// Submit a task and wait for its answer
     Submit(ask::Submit),
@@ -52,6 +56,8 @@
     Planner(ask::At),
     /// Drain a machine, or take that back
     Drain(ask::Drain),
+    /// What a planner knows of tenants, and the state of the directory
+    Tenants(tenants::Tenants),
     /// Measure what one planner carries, beside the bare decisions on the same events
     Measure(measure::Measure),
     /// Tell the decisions what a recording holds and compare their calls
@@ -86,7 +92,8 @@
         Command::Serve(serve) => serve.run(json),
         Command::Machine(machine) => machine.run(json),
         Command::Drill(drill) => drill.run(json),
-        Command::Check { files } => check(&files, json),
+        Command::Check { files, directory } => check(&files, directory, json),
+        Command::Tenants(tenants) => tenants.run(json),
         Command::Submit(submit) => submit.run(json),
         Command::Tasks(tasks) => tasks.run(json),
         Command::Machines(at) => at.run("machines", json),
@@ -120,8 +127,25 @@
     })
 }
 
-fn check(files: &[PathBuf], json: bool) -> Result<(), Failure> {
+/// The directory that an installation's files name, or all that is wrong with it.
+fn directory_of(
+    installation: &basaltpitch_records::installation::Installation,
+    files: &[PathBuf],
+) -> Result<Option<basaltpitch_directory::Directory>, Failure> {
+    basaltpitch_directory::read_settings(&installation.all).map_err(|faults| {
+        let sources = basaltpitch_records::installation::sources(files);
+        let text = faults.iter().map(|f| format!("{}\n{:?}", f.line(&sources), f.report(&sources)));
+        Failure::Wrong(text.collect::<Vec<_>>().join("\n"))
+    })
+}
+
+fn check(files: &[PathBuf], ask: bool, json: bool) -> Result<(), Failure> {
     let found = load(files)?;
+    let directory = directory_of(&found, files)?;
+    if ask {
+        let none = || Failure::Wrong("--directory: found no directory in these files; expected one".into());
+        return tenants::try_directory(&directory.ok_or_else(none)?, json);
+    }
     let count = |list: &str| found.names(list).len();
     if json {
         let found = serde_json::json!({
--- a/cli/src/measure.rs
+++ b/cli/src/measure.rs
@@ -97,7 +97,13 @@
         while let Ok((stream, _)) = register.accept().await {
             let (orders, inbox) = mpsc::channel(16);
             let (news, mut heard) = mpsc::channel(16);
-            let me = Party { role: Role::Register, name: "register".into(), epoch: 1, link: 1 };
+            let me = Party {
+                role: Role::Register,
+                name: "register".into(),
+                epoch: 1,
+                link: 1,
+                login: String::new(),
+            };
             let list = wire::List { whole: true, stamp: 1, entries: entries.clone() };
             tokio::task::spawn_local(link::run(stream, me, clock, inbox, news, |n| n));
             tokio::task::spawn_local(async move {
@@ -114,7 +120,7 @@
 async fn machine(stream: TcpStream, name: String, clock: Clock, zero: Instant, seen: channel::Sender<u64>) {
     let (orders, inbox) = mpsc::channel(8192);
     let (news, mut heard) = mpsc::channel(1024);
-    let me = Party { role: Role::Machine, name, epoch: 1, link: 1 };
+    let me = Party { role: Role::Machine, name, epoch: 1, link: 1, login: String::new() };
     tokio::task::spawn_local(link::run(stream, me, clock, inbox, news, |n| n));
     let running = Rc::new(Cell::new(0u32));
     let report =
@@ -183,7 +189,13 @@
             let _ = stream.set_nodelay(true);
             let (orders, inbox) = mpsc::channel(65_536);
             let (news, mut heard) = mpsc::channel(1024);
-            let me = Party { role: Role::Owner, name: format!("owner-{n}"), epoch: 1, link: 1 };
+            let me = Party {
+                role: Role::Owner,
+                name: format!("owner-{n}"),
+                epoch: 1,
+                link: 1,
+                login: String::new(),
+            };
             tokio::task::spawn_local(link::run(stream, me, clock, inbox, news, |n| n));
             let (answers, placed, out, freed) = (answers.clone(), placed.clone(), out.clone(), freed.clone());
             tokio::task::spawn_local(async move {
@@ -302,8 +314,9 @@
     /// Waits until it has a link to every machine.
     fn linked(&self, machines: usize) -> Result<(), Failure> {
         for _ in 0..600 {
+            let at = crate::ask::At { planner: self.address.clone(), login: String::new() };
             let query = wire::Query { what: "machines".into(), about: String::new() };
-            let rows = crate::ask::question(&self.address, Body::Query(query))?;
+            let rows = crate::ask::question(&at, Body::Query(query))?;
             let well = |r: &&serde_json::Value| r["state"] == "ready";
             if rows.as_array().is_some_and(|rows| rows.iter().filter(well).count() >= machines.min(1000)) {
                 return Ok(());
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -2,9 +2,11 @@
 use crate::{load, Failure};
 use basaltpitch::host::{Given, Value};
 use basaltpitch_planner::core::Who;
+use basaltpitch_planner::service::Start;
 use basaltpitch_records::installation::{Laid, Seat};
+use basaltpitch_store::{Found, Store};
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 #[derive(clap::Args)]
 pub struct Serve {
@@ -32,12 +34,30 @@
     /// Where chance starts from; by default its epoch
     #[arg(long)]
     seed: Option<u64>,
+    /// A folder for what outlives this planner; two planners may share it
+    #[arg(long)]
+    state: Option<PathBuf>,
     /// Write everything that the decisions are told, and their calls, into this file
     #[arg(long)]
     record: Option<PathBuf>,
 }
 
 impl Serve {
+    /// Opens what an earlier life of this planner left.
+    fn open(&self, folder: &Path) -> Result<Store, Failure> {
+        let wrong = |e: String| Failure::Wrong(format!("--state {}: {e}", folder.display()));
+        if self.name.contains(['/', '\\']) || self.name.starts_with('.') {
+            return Err(Failure::Wrong(format!("--name: found {:?}; expected a plain name", self.name)));
+        }
+        std::fs::create_dir_all(folder).map_err(|e| wrong(e.to_string()))?;
+        let path = folder.join(format!("{}.store", self.name));
+        let (store, found) = Store::open(&path).map_err(|e| wrong(e.to_string()))?;
+        if let Found::SetAside { to, why } = found {
+            tracing::error!(file = %path.display(), to = %to.display(), why, "a file that cannot be read was set aside");
+        }
+        Ok(store)
+    }
+
     pub fn run(self, json: bool) -> Result<(), Failure> {
         let installation = load(&self.files)?;
         let zones = installation.names("zones");
@@ -61,6 +81,8 @@
         let given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let epoch = self.epoch.unwrap_or(since.map_or(1, |d| d.as_micros() as u64));
+        let directory = crate::directory_of(&installation, &self.files)?;
+        let store = self.state.as_ref().map(|folder| self.open(folder)).transpose()?;
         let record = self.record.as_ref().map(|path| {
             let file = std::fs::File::create(path);
             let file = file.map_err(|e| Failure::Wrong(format!("--record {}: {e}", path.display())))?;
@@ -86,7 +108,8 @@
             let stop = async {
                 let _ = tokio::signal::ctrl_c().await;
             };
-            basaltpitch_planner::service::serve(listener, who, given, record, stop).await;
+            let start = Start { who, given, record, directory, store };
+            basaltpitch_planner::service::serve(listener, start, stop).await;
             Ok(())
         })
     }
--- a/directory/src/entry.rs
+++ b/directory/src/entry.rs
@@ -16,6 +16,8 @@
     pub tenant_class: String,
     pub group_class: String,
     pub person_class: String,
+    /// Of the base's entry: how far the server is, such as `contextCSN`. Operational; none: it is not asked.
+    pub mark: Option<String>,
 }
 
 impl Default for Names {
@@ -32,6 +34,7 @@
             tenant_class: of("basaltpitchTenant"),
             group_class: of("groupOfNames"),
             person_class: of("inetOrgPerson"),
+            mark: None,
         }
     }
 }
@@ -81,43 +84,75 @@
     plain
 }
 
-pub fn read(names: &Names, raw: Raw) -> Result<Entry, String> {
-    let shown: String = raw.dn.chars().take(80).collect();
-    let wrong = |attribute: &str, found: String, expected: &str| {
+/// One entry while it is read.
+struct Reading<'a> {
+    raw: &'a Raw,
+}
+
+impl<'a> Reading<'a> {
+    fn new(raw: &'a Raw) -> Result<Self, String> {
+        let reading = Reading { raw };
+        if raw.dn.is_empty() || raw.dn.len() > 10 * MOST_NAME {
+            return Err(reading.wrong("its name", format!("{} bytes", raw.dn.len()), "1 to 5000"));
+        }
+        Ok(reading)
+    }
+
+    fn wrong(&self, attribute: &str, found: String, expected: &str) -> String {
+        let shown: String = self.raw.dn.chars().take(80).collect();
         format!("entry {shown:?}: {attribute}: found {found}; expected {expected}")
-    };
-    if raw.dn.is_empty() || raw.dn.len() > 10 * MOST_NAME {
-        return Err(wrong("its name", format!("{} bytes", raw.dn.len()), "1 to 5000"));
     }
-    let values = |name: &str| -> Result<&[String], String> {
-        if raw.bytes.keys().any(|k| k.eq_ignore_ascii_case(name)) {
-            return Err(wrong(name, "bytes that are no text".into(), "text in UTF-8"));
+
+    fn values(&self, name: &str) -> Result<&'a [String], String> {
+        if self.raw.bytes.keys().any(|k| k.eq_ignore_ascii_case(name)) {
+            return Err(self.wrong(name, "bytes that are no text".into(), "text in UTF-8"));
         }
-        let found = raw.texts.iter().find(|(k, _)| k.eq_ignore_ascii_case(name));
+        let found = self.raw.texts.iter().find(|(k, _)| k.eq_ignore_ascii_case(name));
         Ok(found.map_or(&[], |(_, v)| v.as_slice()))
-    };
-    let one = |name: &str| -> Result<Option<&str>, String> {
-        match values(name)? {
+    }
+
+    fn one(&self, name: &str) -> Result<Option<&'a str>, String> {
+        match self.values(name)? {
             [] => Ok(None),
             [value] if !value.is_empty() && value.len() <= MOST_NAME => Ok(Some(value)),
-            [value] => Err(wrong(name, format!("{} bytes", value.len()), "1 to 500")),
-            more => Err(wrong(name, format!("{} values", more.len()), "one")),
+            [value] => Err(self.wrong(name, format!("{} bytes", value.len()), "1 to 500")),
+            more => Err(self.wrong(name, format!("{} values", more.len()), "one")),
         }
-    };
-    let need = |name: &str| one(name)?.ok_or_else(|| wrong(name, "none".into(), "one value"));
-    let id = need(&names.id)?;
-    let digits: String = id.chars().filter(|c| *c != '-').collect();
-    let number =
-        u128::from_str_radix(&digits, 16).ok().filter(|_| digits.len() == 32 && !digits.starts_with('+'));
-    let id = Id(number.ok_or_else(|| wrong(&names.id, format!("{id:?}"), "32 hex digits"))?);
-    let stamp = need(&names.stamp)?;
-    if stamp.len() < 15 || !stamp.ends_with('Z') || !stamp[..14].bytes().all(|b| b.is_ascii_digit()) {
-        return Err(wrong(&names.stamp, format!("{stamp:?}"), "a time such as 20261201134500Z"));
     }
+
+    fn need(&self, name: &str) -> Result<&'a str, String> {
+        self.one(name)?.ok_or_else(|| self.wrong(name, "none".into(), "one value"))
+    }
+
+    /// The entry's id, as a number and as it came, and its stamp.
+    fn stamp(&self, names: &Names) -> Result<(Id, &'a str, &'a str), String> {
+        let text = self.need(&names.id)?;
+        let id = Id::read(text).ok_or_else(|| self.wrong(&names.id, format!("{text:?}"), "32 hex digits"))?;
+        let stamp = self.need(&names.stamp)?;
+        if stamp.len() < 15 || !stamp.ends_with('Z') || !stamp.as_bytes()[..14].iter().all(u8::is_ascii_digit)
+        {
+            return Err(self.wrong(&names.stamp, format!("{stamp:?}"), "a time such as 20261201134500Z"));
+        }
+        Ok((id, text, stamp))
+    }
+}
+
+/// Id, the text of it, and stamp of an entry of which nothing else was asked for.
+pub fn read_stamp(names: &Names, raw: &Raw) -> Result<(Id, String, String), String> {
+    let (id, text, stamp) = Reading::new(raw)?.stamp(names)?;
+    Ok((id, text.to_owned(), stamp.to_owned()))
+}
+
+pub fn read(names: &Names, raw: Raw) -> Result<Entry, String> {
+    let reading = Reading::new(&raw)?;
+    let wrong = |attribute: &str, found: String, expected: &str| reading.wrong(attribute, found, expected);
+    let values = |name: &str| reading.values(name);
+    let need = |name: &str| reading.need(name);
+    let (id, _, stamp) = reading.stamp(names)?;
     let classes = values(&names.class)?;
     let is = |class: &str| classes.iter().any(|c| c.eq_ignore_ascii_case(class));
     let (what, name) = if is(&names.tenant_class) {
-        let share = one(&names.share)?.unwrap_or("0");
+        let share = reading.one(&names.share)?.unwrap_or("0");
         let number = share.parse::<f64>().ok().filter(|s| (0.0..=1.0).contains(s));
         let share =
             number.ok_or_else(|| wrong(&names.share, format!("{share:?}"), "a number from 0 to 1"))?;
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -1,23 +1,39 @@
-//! Sweeps of an LDAP directory (RFC 4511, paged results of RFC 2696): binds, asks for people, groups and tenants, and
-//! hands over what came with whether it is all. An entry that makes no sense is left out and named, and the sweep is
-//! then not complete: what cannot be read is never read as a deletion. It decides nothing else.
+//! Sweeps of an LDAP directory (RFC 4511): binds, asks for people, groups and tenants, and hands over what came with
+//! whether it is all. An entry that makes no sense is left out and named, and the sweep is then not complete: what cannot
+//! be read is never read as a deletion. It decides nothing else.
+//!
+//! Three ways to read: everything, in pages (RFC 2696); a list of ids and stamps, and then only what differs from the
+//! last list; or content synchronisation (RFC 4533) from a cookie on, where the settings say that the servers offer it.
 mod entry;
+mod settings;
 
 pub use entry::{plain_dn, read, Names, Raw};
+pub use settings::{read_settings, Directory};
 
-use basaltpitch_tenants::Sweep;
+use basaltpitch_tenants::{Id, Mark, Sweep};
 use ldap3::adapters::{Adapter, EntriesOnly, PagedResults};
-use ldap3::{LdapConnAsync, LdapConnSettings, Scope, SearchEntry};
+use ldap3::controls::{
+    parse_syncinfo, Control, ControlType, EntryState, SyncDone, SyncInfo, SyncRequest, SyncState,
+};
+use ldap3::{ldap_escape, Ldap, LdapConnAsync, LdapConnSettings, ResultEntry, Scope, SearchEntry};
+use std::collections::{BTreeSet, HashMap};
+use std::hash::{Hash, Hasher};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
-/// How a directory is reached and asked. Filters are the settings' own text; values never enter them.
+/// Ids that are asked for in one search.
+const IDS_AT_ONCE: usize = 100;
+
+/// How a directory is reached and asked. Filters are the settings' own text; values enter them escaped.
 #[derive(Clone, Debug)]
 pub struct Source {
     /// `ldap://` (with StartTLS where `starttls` is set) or `ldaps://`, in order.
     pub urls: Vec<String>,
     pub starttls: bool,
+    /// A file with the certificates (PEM) that vouch for the servers, read anew at each sweep; none: the system's.
+    pub vouchers: Option<PathBuf>,
     pub bind_dn: String,
     /// The file that holds the password, read anew at each sweep, so that it may change in service.
     pub password: PathBuf,
@@ -25,15 +41,27 @@
     pub filter: String,
     pub names: Names,
     pub page: i32,
+    /// Servers offer content synchronisation.
+    pub sync: bool,
     /// A connection, and each page, must come within this time.
     pub patience: Duration,
 }
 
+/// What a server gave before, by id: a sum over stamp and name. Empty: nothing.
+pub type Seen = HashMap<u128, u64>;
+
+/// What an earlier sweep of the same server left; nothing: everything is read.
+#[derive(Clone, Debug, Default)]
+pub struct Before {
+    pub seen: Seen,
+    pub cookie: Option<Vec<u8>>,
+}
+
 /// Why a sweep brought nothing.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Fault {
     #[error("{file}: {what}")]
-    Secret { file: String, what: String },
+    File { file: String, what: String },
     #[error("{url}: no connection: {what}")]
     Connect { url: String, what: String },
     #[error("{url}: bind as {dn}: found result {rc} ({text}); expected 0")]
@@ -48,79 +76,340 @@
     pub sweep: Sweep,
     /// Why it is not complete, where it is not; one text a cause.
     pub lacks: Vec<String>,
+    /// What this server has now, for the next sweep.
+    pub seen: Seen,
+}
+
+impl Swept {
+    fn lacks(&mut self, why: impl Into<String>) {
+        self.lacks.push(why.into());
+    }
 }
 
-/// Sweeps one server. Pages that came before a break are handed over as an incomplete sweep.
-pub async fn sweep(source: &Source, server: usize) -> Result<Swept, Fault> {
+/// One conversation with a server.
+struct Talk<'a> {
+    source: &'a Source,
+    ldap: Ldap,
+    url: String,
+}
+
+/// Sweeps one server. Pages that came before a break are handed over as an incomplete sweep. `answered` is called once the
+/// server has answered the first search.
+pub async fn sweep(
+    source: &Source,
+    server: usize,
+    before: Before,
+    answered: impl FnOnce(),
+) -> Result<Swept, Fault> {
     let url = source.urls[server].clone();
-    let secret = std::fs::read_to_string(&source.password)
-        .map_err(|e| Fault::Secret { file: source.password.display().to_string(), what: e.to_string() })?;
-    let settings = LdapConnSettings::new().set_conn_timeout(source.patience).set_starttls(source.starttls);
+    let file = |path: &PathBuf, what: String| Fault::File { file: path.display().to_string(), what };
+    let secret =
+        std::fs::read_to_string(&source.password).map_err(|e| file(&source.password, e.to_string()))?;
+    let mut settings =
+        LdapConnSettings::new().set_conn_timeout(source.patience).set_starttls(source.starttls);
+    if let Some(path) = &source.vouchers {
+        settings = settings.set_config(trusting(path).map_err(|e| file(path, e))?);
+    }
     let connect = |what: String| Fault::Connect { url: url.clone(), what };
-    let opened = LdapConnAsync::with_settings(settings, &url).await;
+    let opened = tokio::time::timeout(source.patience, LdapConnAsync::with_settings(settings, &url)).await;
+    let opened = opened.map_err(|_| connect("nothing came in time".into()))?;
     let (conn, mut ldap) = opened.map_err(|e| connect(e.to_string()))?;
     let driven = tokio::task::spawn_local(async move {
         if let Err(e) = conn.drive().await {
             tracing::debug!(error = %e, "the directory's connection ended");
         }
     });
+    let _ends = Ends(driven);
     let bound = ldap.with_timeout(source.patience).simple_bind(&source.bind_dn, secret.trim_end()).await;
     let bound = bound.map_err(|e| connect(e.to_string()))?;
     if bound.rc != 0 {
-        driven.abort();
         return Err(Fault::Bind { url, dn: source.bind_dn.clone(), rc: bound.rc, text: bound.text });
     }
-    let swept = search(source, &url, &mut ldap).await;
-    let _ = ldap.with_timeout(source.patience).unbind().await;
-    driven.abort();
-    swept
+    let mut talk = Talk { source, ldap, url };
+    let mark = talk.mark().await;
+    answered();
+    let mut swept = if source.sync {
+        talk.synchronised(before.cookie).await
+    } else if before.seen.is_empty() {
+        talk.whole().await
+    } else {
+        talk.changes(before.seen).await
+    };
+    match mark {
+        Ok(mark) => swept.sweep.mark = mark,
+        Err(why) => swept.lacks(why),
+    }
+    let _ = talk.ldap.with_timeout(source.patience).unbind().await;
+    if swept.sweep.entries.is_empty() && swept.sweep.present.is_empty() && !swept.lacks.is_empty() {
+        return Err(Fault::Search { url: talk.url, what: swept.lacks.join("; ") });
+    }
+    swept.sweep.complete = swept.lacks.is_empty();
+    Ok(swept)
+}
+
+/// Ends the connection's task whatever way the sweep ends.
+struct Ends(tokio::task::JoinHandle<()>);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Trust in the certificates of a file, and in no others.
+fn trusting(path: &PathBuf) -> Result<Arc<rustls::ClientConfig>, String> {
+    use rustls::pki_types::{pem::PemObject, CertificateDer};
+    let mut roots = rustls::RootCertStore::empty();
+    let all = CertificateDer::pem_file_iter(path).map_err(|e| e.to_string())?;
+    for one in all {
+        roots.add(one.map_err(|e| e.to_string())?).map_err(|e| e.to_string())?;
+    }
+    if roots.is_empty() {
+        return Err("found no certificate; expected at least one in PEM".into());
+    }
+    let ring = Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(ring).with_safe_default_protocol_versions();
+    let config = config.map_err(|e| e.to_string())?.with_root_certificates(roots).with_no_client_auth();
+    Ok(Arc::new(config))
+}
+
+/// A filter for entries with these ids, which may be any text, among those of another filter.
+pub fn filter_of_ids(filter: &str, attribute: &str, ids: &[String]) -> String {
+    let each: String = ids.iter().map(|id| format!("({attribute}={})", ldap_escape(id.as_str()))).collect();
+    format!("(&{filter}(|{each}))")
+}
+
+/// A sum by which a change of an entry's stamp or name shows.
+fn sum_of(dn: &str, stamp: &str) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    (plain_dn(dn), stamp).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Two changes within one tick of a server's clock bear one stamp: an entry with the newest of all stamps may change again
+/// under it, and is read again.
+fn settled(list: Vec<(Id, u64, String)>) -> Seen {
+    let newest = list.iter().map(|x| x.2.clone()).max().unwrap_or_default();
+    list.into_iter().filter(|x| x.2 != newest).map(|x| (x.0 .0, x.1)).collect()
 }
 
-async fn search(source: &Source, url: &str, ldap: &mut ldap3::Ldap) -> Result<Swept, Fault> {
-    let broke = |what: String| Fault::Search { url: url.to_owned(), what };
-    let adapters: Vec<Box<dyn Adapter<_, _>>> =
-        vec![Box::new(EntriesOnly::new()), Box::new(PagedResults::new(source.page))];
-    let attributes = source.names.all();
-    let search = ldap.with_timeout(source.patience);
-    let opened = search
-        .streaming_search_with(adapters, &source.base, Scope::Subtree, &source.filter, attributes)
-        .await;
-    let mut stream = opened.map_err(|e| broke(e.to_string()))?;
-    let mut swept = Swept::default();
-    loop {
-        match tokio::time::timeout(source.patience, stream.next()).await {
-            Err(_) => swept.lacks.push(format!("nothing came for {} ms", source.patience.as_millis())),
-            Ok(Err(e)) => swept.lacks.push(e.to_string()),
-            Ok(Ok(Some(entry))) => {
-                // The client panics on an entry whose bytes make no sense.
-                let raw = catch_unwind(AssertUnwindSafe(|| SearchEntry::construct(entry)));
-                let raw = raw.map(|e| Raw { dn: e.dn, texts: e.attrs, bytes: e.bin_attrs });
-                match raw
-                    .map_err(|_| "an entry whose bytes make no sense".to_owned())
-                    .and_then(|r| read(&source.names, r))
-                {
-                    Ok(entry) => swept.sweep.entries.push(entry),
-                    Err(what) => swept.lacks.push(what),
+fn raw(entry: ResultEntry) -> Result<Raw, String> {
+    // The client panics on an entry whose bytes make no sense.
+    let raw = catch_unwind(AssertUnwindSafe(|| SearchEntry::construct(entry)));
+    let raw = raw.map_err(|_| "an entry whose bytes make no sense".to_owned())?;
+    Ok(Raw { dn: raw.dn, texts: raw.attrs, bytes: raw.bin_attrs })
+}
+
+impl Talk<'_> {
+    /// Searches in pages; each entry that came, and what is lacking at the end.
+    async fn paged(
+        &mut self,
+        filter: &str,
+        attributes: Vec<String>,
+        mut each: impl FnMut(Raw) -> Result<(), String>,
+    ) -> Vec<String> {
+        let (source, mut lacks) = (self.source, Vec::new());
+        let adapters: Vec<Box<dyn Adapter<_, _>>> =
+            vec![Box::new(EntriesOnly::new()), Box::new(PagedResults::new(source.page))];
+        let search = self.ldap.with_timeout(source.patience);
+        let opened =
+            search.streaming_search_with(adapters, &source.base, Scope::Subtree, filter, attributes).await;
+        let mut stream = match opened {
+            Ok(stream) => stream,
+            Err(e) => return vec![e.to_string()],
+        };
+        loop {
+            match tokio::time::timeout(source.patience, stream.next()).await {
+                Err(_) => lacks.push(format!("nothing came for {} ms", source.patience.as_millis())),
+                Ok(Err(e)) => lacks.push(e.to_string()),
+                Ok(Ok(Some(entry))) => {
+                    if let Err(what) = raw(entry).and_then(&mut each) {
+                        lacks.push(what);
+                    }
+                    continue;
                 }
-                continue;
+                Ok(Ok(None)) => {
+                    let end = stream.finish().await;
+                    if end.rc != 0 {
+                        let (rc, text) = (end.rc, end.text);
+                        lacks.push(format!("the search ended with result {rc} ({text}); expected 0"));
+                    }
+                    if !end.refs.is_empty() {
+                        lacks.push("a referral".into());
+                    }
+                }
+            }
+            return lacks;
+        }
+    }
+
+    /// How far the server says that it is, where settings name the attribute that says it.
+    async fn mark(&mut self) -> Result<Mark, String> {
+        let Some(attribute) = &self.source.names.mark else { return Ok(Mark::new()) };
+        let search = self.ldap.with_timeout(self.source.patience);
+        let found = search
+            .search(&self.source.base, Scope::Base, "(objectClass=*)", vec![attribute])
+            .await
+            .and_then(|r| r.success())
+            .map_err(|e| format!("{attribute}: {e}"))?;
+        let mut mark = Mark::new();
+        for entry in found.0 {
+            for value in raw(entry)?.texts.into_values().flatten() {
+                // time#count#server#modification
+                let server = value.split('#').nth(2).unwrap_or_default().to_owned();
+                mark.insert(server, value);
             }
-            Ok(Ok(None)) => {
-                let end = stream.finish().await;
-                if end.rc != 0 {
-                    swept
-                        .lacks
-                        .push(format!("the search ended with result {} ({}); expected 0", end.rc, end.text));
+        }
+        Ok(mark)
+    }
+
+    async fn whole(&mut self) -> Swept {
+        let (mut swept, mut list) = (Swept::default(), Vec::new());
+        let names = &self.source.names;
+        let filter = self.source.filter.clone();
+        swept.lacks = self
+            .paged(&filter, names.all(), |raw| {
+                let entry = read(names, raw)?;
+                list.push((entry.id, sum_of(&entry.dn, &entry.stamp), entry.stamp.clone()));
+                swept.sweep.entries.push(entry);
+                Ok(())
+            })
+            .await;
+        swept.seen = settled(list);
+        swept
+    }
+
+    async fn changes(&mut self, before: Seen) -> Swept {
+        let (mut swept, mut list, mut differ) = (Swept::default(), Vec::new(), Vec::new());
+        let names = &self.source.names;
+        let filter = self.source.filter.clone();
+        let attributes = vec![names.id.clone(), names.stamp.clone()];
+        swept.lacks = self
+            .paged(&filter, attributes, |raw| {
+                let (id, text, stamp) = entry::read_stamp(names, &raw)?;
+                let sum = sum_of(&raw.dn, &stamp);
+                list.push((id, sum, stamp));
+                if before.get(&id.0) == Some(&sum) {
+                    swept.sweep.present.push(id);
+                } else {
+                    differ.push(text);
                 }
-                if !end.refs.is_empty() {
-                    swept.lacks.push("a referral".into());
+                Ok(())
+            })
+            .await;
+        for some in differ.chunks(IDS_AT_ONCE) {
+            let filter = filter_of_ids(&filter, &names.id, some);
+            let lacks = self
+                .paged(&filter, names.all(), |raw| {
+                    swept.sweep.entries.push(read(names, raw)?);
+                    Ok(())
+                })
+                .await;
+            swept.lacks.extend(lacks);
+        }
+        swept.seen = settled(list);
+        swept
+    }
+
+    /// Content synchronisation, refresh only: what changed since the cookie, or everything without one.
+    async fn synchronised(&mut self, cookie: Option<Vec<u8>>) -> Swept {
+        let mut swept = Swept::default();
+        let patience = self.source.patience;
+        let request = SyncRequest { cookie, ..SyncRequest::default() };
+        let search = self.ldap.with_timeout(patience).with_controls(vec![request.into()]);
+        let (source, names) = (self.source, &self.source.names);
+        let opened = search.streaming_search(&source.base, Scope::Subtree, &source.filter, names.all()).await;
+        let mut stream = match opened {
+            Ok(stream) => stream,
+            Err(e) => {
+                swept.lacks(e.to_string());
+                return swept;
+            }
+        };
+        let mut gone = BTreeSet::new();
+        loop {
+            match tokio::time::timeout(patience, stream.next()).await {
+                Err(_) => swept.lacks(format!("nothing came for {} ms", patience.as_millis())),
+                Ok(Err(e)) => swept.lacks(e.to_string()),
+                Ok(Ok(Some(entry))) => {
+                    if let Err(what) = synced(names, entry, &mut swept, &mut gone) {
+                        swept.lacks(what);
+                    }
+                    continue;
+                }
+                Ok(Ok(None)) => {
+                    let end = stream.finish().await;
+                    if end.rc != 0 {
+                        swept.lacks(format!(
+                            "the search ended with result {} ({}); expected 0",
+                            end.rc, end.text
+                        ));
+                    }
+                    let done = end.ctrls.into_iter().find_map(|c| match c {
+                        Control(Some(ControlType::SyncDone), raw) => {
+                            catch_unwind(AssertUnwindSafe(|| raw.parse::<SyncDone>())).ok()
+                        }
+                        _ => None,
+                    });
+                    match done {
+                        Some(done) => {
+                            swept.sweep.cookie = done.cookie;
+                            // Deletions were named, and all else is as it was; or all that is there was named.
+                            swept.sweep.gone = done.refresh_deletes.then(|| gone.into_iter().collect());
+                        }
+                        None => swept
+                            .lacks("found no end of the synchronisation; expected the control of RFC 4533"),
+                    }
                 }
             }
+            return swept;
         }
-        break;
     }
-    if swept.sweep.entries.is_empty() && !swept.lacks.is_empty() {
-        return Err(broke(swept.lacks.join("; ")));
+}
+
+/// Takes in one message of a synchronisation.
+fn synced(
+    names: &Names,
+    entry: ResultEntry,
+    swept: &mut Swept,
+    gone: &mut BTreeSet<Id>,
+) -> Result<(), String> {
+    let id = |bytes: &[u8]| {
+        let bytes: [u8; 16] =
+            bytes.try_into().map_err(|_| format!("an id of {} bytes; expected 16", bytes.len()))?;
+        Ok::<_, String>(Id(u128::from_be_bytes(bytes)))
+    };
+    if entry.is_ref() {
+        return Err("a referral".into());
     }
-    swept.sweep.complete = swept.lacks.is_empty();
-    Ok(swept)
+    if entry.is_intermediate() {
+        let info = catch_unwind(AssertUnwindSafe(|| parse_syncinfo(entry)));
+        let info = info.map_err(|_| "a message of the synchronisation that makes no sense".to_owned())?;
+        if let SyncInfo::SyncIdSet { refresh_deletes, sync_uuids, .. } = info {
+            for uuid in sync_uuids {
+                let id = id(&uuid)?;
+                if refresh_deletes {
+                    gone.insert(id);
+                } else {
+                    swept.sweep.present.push(id);
+                }
+            }
+        }
+        return Ok(());
+    }
+    let state = entry.1.iter().find_map(|c| match c {
+        Control(Some(ControlType::SyncState), raw) => {
+            catch_unwind(AssertUnwindSafe(|| raw.parse::<SyncState>())).ok()
+        }
+        _ => None,
+    });
+    let state = state.ok_or("an entry without its state; expected the control of RFC 4533")?;
+    match state.state {
+        EntryState::Add | EntryState::Modify => swept.sweep.entries.push(read(names, raw(entry)?)?),
+        EntryState::Present => swept.sweep.present.push(id(&state.entry_uuid)?),
+        EntryState::Delete => {
+            gone.insert(id(&state.entry_uuid)?);
+        }
+    }
+    Ok(())
 }
--- a/directory/tests/over_a_restart.rs
+++ b/directory/tests/over_a_restart.rs
@@ -1,5 +1,5 @@
 //! The whole way on loopback: a directory is swept, remembered in a store, goes away, and a successor serves on.
-use basaltpitch_directory::{sweep, Names, Source};
+use basaltpitch_directory::{sweep, Before, Names, Source};
 use basaltpitch_standins::directory::{self, laid, Trouble};
 use basaltpitch_store::{Found, Store};
 use basaltpitch_tenants::health::{State, PACE};
@@ -12,6 +12,10 @@
 
 const S: i64 = 1_000_000;
 
+fn names(n: usize) -> Vec<String> {
+    (0..n).map(|i| format!("server {i}")).collect()
+}
+
 #[test]
 fn a_successor_serves_on_from_the_store_while_the_directory_is_away() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -46,6 +50,8 @@
         let source = Source {
             urls: vec![format!("ldap://{}", there.address)],
             starttls: false,
+            vouchers: None,
+            sync: false,
             bind_dn: "cn=p".into(),
             password: folder.join("secret"),
             base: "dc=x".into(),
@@ -59,9 +65,9 @@
         let asks = Asks::Submit { tenant: "orders" };
         {
             let (store, _) = Store::open(&path).unwrap();
-            let mut k = Keeper::new(1, 0, 1, None, PACE, CAUTION).unwrap();
+            let mut k = Keeper::new(1, 0, &names(1), None, PACE, CAUTION).unwrap();
             assert_eq!(k.next(0), Some(0));
-            k.swept(S, sweep(&source, 0).await.ok().map(|s| s.sweep));
+            k.swept(S, sweep(&source, 0, Before::default(), || ()).await.ok().map(|s| s.sweep));
             assert!(k.rule(S, &terms, "asha", asks).may);
             let (at, bytes) = k.memory().unwrap();
             store.put("tenants", FORMAT, at, &bytes).unwrap();
@@ -70,15 +76,19 @@
         let (store, found) = Store::open(&path).unwrap();
         assert_eq!(found, Found::Ours);
         let kept = store.get("tenants", FORMAT).unwrap().unwrap();
-        let mut k = Keeper::new(2, 400 * S, 1, Some((kept.at, &kept.bytes)), PACE, CAUTION).unwrap();
+        let mut k = Keeper::new(2, 400 * S, &names(1), Some((kept.at, &kept.bytes)), PACE, CAUTION).unwrap();
         assert_eq!(k.next(400 * S), Some(0));
-        k.swept(401 * S, sweep(&source, 0).await.ok().map(|s| s.sweep));
+        k.swept(401 * S, sweep(&source, 0, Before::default(), || ()).await.ok().map(|s| s.sweep));
         let r = k.rule(401 * S, &terms, "asha", asks);
         assert_eq!((r.may, r.stale, k.state(401 * S)), (true, true, State::Stale));
         there.trouble.set(Trouble::None);
         let at = k.next_at();
         assert_eq!(k.next(at), Some(0));
-        assert_eq!(k.swept(at, sweep(&source, 0).await.ok().map(|s| s.sweep)), [], "nothing changed");
+        assert_eq!(
+            k.swept(at, sweep(&source, 0, Before::default(), || ()).await.ok().map(|s| s.sweep)),
+            [],
+            "nothing changed"
+        );
         assert!(!k.rule(at, &terms, "asha", asks).stale);
     });
 }
--- a/directory/tests/sweeps.rs
+++ b/directory/tests/sweeps.rs
@@ -1,5 +1,5 @@
 //! Sweeps of a stand-in directory on loopback, well and with each of its troubles; entries of every kind of nonsense.
-use basaltpitch_directory::{plain_dn, read, sweep, Fault, Names, Raw, Source, Swept};
+use basaltpitch_directory::{plain_dn, read, sweep, Before, Fault, Names, Raw, Source, Swept};
 use basaltpitch_standins::directory::{self, laid, Directory, Laid, Trouble};
 use basaltpitch_tenants::trust::{Trust, CAUTION};
 use basaltpitch_tenants::{Id, Tenants, What};
@@ -59,6 +59,8 @@
     let source = Source {
         urls: vec![format!("ldap://{}", there.address)],
         starttls: false,
+        vouchers: None,
+        sync: false,
         bind_dn: "cn=planner,dc=campus".into(),
         password,
         base: "dc=campus".into(),
@@ -74,13 +76,13 @@
 fn all_pages_come_and_members_are_found_whatever_their_spelling() {
     on_sockets(async {
         let (there, source) = begin("all").await;
-        let swept = sweep(&source, 0).await.unwrap();
+        let swept = sweep(&source, 0, Before::default(), || ()).await.unwrap();
         assert_eq!((swept.sweep.entries.len(), swept.lacks.len(), swept.sweep.complete), (44, 0, true));
         assert_eq!(there.searches.get(), 7);
         let (mut ours, mut trust) = (Tenants::default(), Trust::default());
         let believed = trust.judge(0, &ours, swept.sweep, CAUTION);
         ours.take(0, believed.entries, &believed.gone);
-        let team = ours.find("team 2").unwrap();
+        let team = ours.find("team 2", 0).unwrap();
         assert_eq!(ours.tenant(team, 0).unwrap().members, 10);
         assert!(ours.is_member(ours.login("p25").unwrap(), team));
     });
@@ -97,10 +99,10 @@
             ours.take(0, believed.entries, &believed.gone);
             ours.tenants(0).count()
         };
-        assert_eq!(take(sweep(&source, 0).await.unwrap()), 4);
+        assert_eq!(take(sweep(&source, 0, Before::default(), || ()).await.unwrap()), 4);
         for most in 0..44 {
             there.trouble.set(Trouble::CutsAfter(most));
-            match sweep(&source, 0).await {
+            match sweep(&source, 0, Before::default(), || ()).await {
                 Ok(swept) => {
                     assert!(!swept.sweep.complete, "cut after {most}: {:?}", swept.lacks);
                     assert_eq!(take(swept), 4, "cut after {most}");
@@ -116,26 +118,32 @@
     on_sockets(async {
         let (there, mut source) = begin("words").await;
         there.trouble.set(Trouble::SizeLimit(20));
-        let swept = sweep(&source, 0).await.unwrap();
+        let swept = sweep(&source, 0, Before::default(), || ()).await.unwrap();
         assert_eq!(swept.lacks, ["the search ended with result 4 (); expected 0"]);
         there.trouble.set(Trouble::Stalls);
-        let said = sweep(&source, 0).await.unwrap_err().to_string();
+        let said = sweep(&source, 0, Before::default(), || ()).await.unwrap_err().to_string();
         assert!(said.contains("the search broke off"), "{said}");
         there.trouble.set(Trouble::Refuses);
-        assert!(matches!(sweep(&source, 0).await, Err(Fault::Connect { .. })));
+        assert!(matches!(sweep(&source, 0, Before::default(), || ()).await, Err(Fault::Connect { .. })));
         there.trouble.set(Trouble::Slow(20));
-        assert!(sweep(&source, 0).await.unwrap().sweep.complete, "slow, and all of it");
+        assert!(
+            sweep(&source, 0, Before::default(), || ()).await.unwrap().sweep.complete,
+            "slow, and all of it"
+        );
         there.trouble.set(Trouble::None);
         *there.password.borrow_mut() = "changed".into();
-        let said = sweep(&source, 0).await.unwrap_err().to_string();
+        let said = sweep(&source, 0, Before::default(), || ()).await.unwrap_err().to_string();
         assert!(
             said.contains("bind as cn=planner,dc=campus: found result 49") && !said.contains("sesame"),
             "{said}"
         );
         std::fs::write(&source.password, "changed").unwrap();
-        assert!(sweep(&source, 0).await.unwrap().sweep.complete, "a secret that changed in service");
+        assert!(
+            sweep(&source, 0, Before::default(), || ()).await.unwrap().sweep.complete,
+            "a secret that changed in service"
+        );
         source.password = "/no/such/secret".into();
-        assert!(matches!(sweep(&source, 0).await, Err(Fault::Secret { .. })));
+        assert!(matches!(sweep(&source, 0, Before::default(), || ()).await, Err(Fault::File { .. })));
     });
 }
 
@@ -152,7 +160,7 @@
             ],
         );
         there.entries.borrow_mut().insert(5, bad);
-        let swept = sweep(&source, 0).await.unwrap();
+        let swept = sweep(&source, 0, Before::default(), || ()).await.unwrap();
         assert_eq!((swept.sweep.entries.len(), swept.sweep.complete), (44, false));
         assert_eq!(
             swept.lacks,
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -44,6 +44,8 @@
     Crowded,
     /// Too little time is left for any launch to be answered.
     TooLate,
+    /// Who asked may not; the caller's words say why.
+    NotAllowed(&'static str),
 }
 
 impl Reason {
@@ -55,6 +57,7 @@
             Reason::Superseded => "a newer asking of this task came",
             Reason::Crowded => "too many open tasks here",
             Reason::TooLate => "too little time is left",
+            Reason::NotAllowed(words) => words,
         }
     }
 }
@@ -288,7 +291,40 @@
         left_us: i64,
         acts: &mut Vec<Act<K>>,
     ) {
-        let left_us = left_us - self.promises.travel_us;
+        self.ask_for(key, ask, owner, kind, job, Ok(left_us), acts);
+    }
+
+    /// The same for an asking that is to be declined at the door. A repeat of an asking that is open or answered goes
+    /// on, a task that runs is answered as placed, and what may have run is not declined.
+    #[allow(clippy::too_many_arguments)]
+    pub fn not_allowed(
+        &mut self,
+        key: K,
+        ask: u64,
+        owner: u64,
+        kind: Kind,
+        job: J,
+        refusal: (&'static str, i64),
+        acts: &mut Vec<Act<K>>,
+    ) {
+        let (words, retry_after_us) = refusal;
+        let declined = Answer::Declined { retry_after_us, reason: Reason::NotAllowed(words) };
+        self.ask_for(key, ask, owner, kind, job, Err(declined), acts);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ask_for(
+        &mut self,
+        key: K,
+        ask: u64,
+        owner: u64,
+        kind: Kind,
+        job: J,
+        left_us: Result<i64, Answer>,
+        acts: &mut Vec<Act<K>>,
+    ) {
+        let at_door = left_us.err();
+        let left_us = left_us.unwrap_or_default() - self.promises.travel_us;
         let say = |answer| Act::Answer { key: key.clone(), ask, owner, answer };
         if let Some(record) = self.records.get_mut(&key) {
             if ask < record.ask {
@@ -308,7 +344,7 @@
                 self.close_open(&key, Answer::Aborted { reason: Reason::Superseded }, acts);
             }
         }
-        let refusal = self.held_off(&key, kind).or_else(|| {
+        let refusal = self.held_off(&key, kind).or(at_door).or_else(|| {
             let crowded = self.open >= self.promises.most_open;
             let late = left_us <= 0;
             let reason = if crowded { Reason::Crowded } else { Reason::TooLate };
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -5,6 +5,7 @@
 use crate::hands::{Due, Hands, Job, Key, Wish};
 use crate::recording::Recorder;
 use crate::standing::{Link, Standing};
+use crate::tenancy::{Asked, Learnt, Task, Tenancy};
 use crate::told::{outcome_number, ready_number, Told};
 use crate::view;
 use basaltpitch::host::{number, text, Given, Outcome, Readiness};
@@ -13,9 +14,10 @@
 use basaltpitch_agent::wire::{self, Body};
 use basaltpitch_indices::{number_of, Lodgers};
 use basaltpitch_ledger::{
-    Act, Answer, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Promises, PROMISES,
+    Act, Answer, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Promises, Reason, PROMISES,
 };
-use std::collections::{BTreeMap, VecDeque};
+use basaltpitch_tenants::{Change, Sweep};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// The register among the peers that are dialled.
@@ -52,6 +54,13 @@
         machine: usize,
         why: &'static str,
     },
+    /// Sweep a server of the directory; one that is under way is given up.
+    Sweep(Task),
+    /// What of the directory is to outlive this planner: all of it, or only when it was last heard in full.
+    Remember {
+        at: i64,
+        all: Option<Vec<u8>>,
+    },
 }
 
 /// Who a planner is.
@@ -76,6 +85,11 @@
     placing: Planner<Hands>,
     recorder: Option<Recorder>,
     names: Names,
+    tenancy: Tenancy,
+    /// On whose behalf each connection asks.
+    logins: HashMap<u64, Rc<str>>,
+    /// An asking that was declined at the door, and how old that was which the refusal rests on.
+    at_door: Option<(u64, i64)>,
     machines: Lodgers<Rc<str>>,
     known: Vec<Option<Machine>>,
     services: Lodgers<u64>,
@@ -110,16 +124,13 @@
 /// Names of the installation and their indices.
 struct Names {
     frameworks: Vec<(String, Kind)>,
-    tenants: Vec<String>,
     zones: Vec<String>,
     kinds: Vec<String>,
 }
 
 impl Names {
     fn new(given: &Given) -> Self {
-        let list = |of: &dyn Fn(usize) -> String| -> Vec<String> {
-            (0..).map(|i| text(given, &of(i)).to_owned()).take_while(|n| !n.is_empty()).collect()
-        };
+        let list = |of: &dyn Fn(usize) -> String| listed(given, of);
         let kind = |i: usize| match text(given, &format!("classes.{i}.semantics")) {
             "retryable" => Kind::Repeatable,
             "dedup" => Kind::Keyed,
@@ -128,13 +139,17 @@
         let frameworks = list(&|i| format!("classes.{i}.name"));
         Names {
             frameworks: frameworks.into_iter().enumerate().map(|(i, name)| (name, kind(i))).collect(),
-            tenants: list(&|i| format!("tenants.{i}.name")),
             zones: list(&|i| format!("localities.{i}")),
             kinds: list(&|i| format!("machineTypes.{i}")),
         }
     }
 }
 
+/// Texts under numbered names, up to the first that is missing.
+fn listed(given: &Given, of: &dyn Fn(usize) -> String) -> Vec<String> {
+    (0..).map(|i| text(given, &of(i)).to_owned()).take_while(|n| !n.is_empty()).collect()
+}
+
 fn place(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
@@ -153,6 +168,7 @@
         let ledger = Ledger::new(who.epoch, now, Promises { settle_us, ..PROMISES });
         let hands = Hands::new(now, ledger, record.is_some());
         let names = Names::new(&given);
+        let tenancy = Tenancy::Listed(listed(&given, &|i| format!("tenants.{i}.name")));
         let connect_us = number(&given, "permissions.connectTimeoutUs").unwrap_or(250_000.0) as i64;
         let pushes = text(&given, "discovery") != "ask";
         let recorder = record.map(|out| Recorder::start(out, who.seed, now, &given));
@@ -163,6 +179,9 @@
             who,
             recorder,
             names,
+            tenancy,
+            logins: HashMap::new(),
+            at_door: None,
             machines: Lodgers::default(),
             known: Vec::new(),
             services: Lodgers::default(),
@@ -199,7 +218,7 @@
     /// The time at which `clock` has something to do.
     pub fn next_at(&self) -> i64 {
         let dial = self.dials.next_at().unwrap_or(i64::MAX);
-        self.placing.host.timers.next_at().unwrap_or(i64::MAX).min(dial)
+        self.placing.host.timers.next_at().unwrap_or(i64::MAX).min(dial).min(self.tenancy.next_at())
     }
 
     /// Lets time pass: timers come due, peers are dialled.
@@ -217,6 +236,76 @@
         while let Some(peer) = self.dials.next(now) {
             self.dial(peer);
         }
+        if let Some(learnt) = self.tenancy.learnt() {
+            let task = learnt.next(now);
+            learnt.say(now);
+            self.out.extend(task.map(Out::Sweep));
+        }
+    }
+
+    // The directory of tenants.
+
+    /// From now on tenants are learnt from a directory. To be called before anything else comes.
+    pub fn learn(&mut self, now: i64, learnt: Learnt) {
+        self.set_clock(now);
+        let shares = learnt.shares();
+        self.tenancy = Tenancy::Learnt(Box::new(learnt));
+        for (tenant, share) in shares {
+            self.tell(Told::TenantShare { tenant, share });
+        }
+        self.clock(now);
+    }
+
+    /// A first answer of a sweep came.
+    pub fn sweep_answered(&mut self, now: i64, number: u64) {
+        if let Some(learnt) = self.tenancy.learnt() {
+            learnt.answered(number);
+            learnt.say(now);
+        }
+    }
+
+    /// A sweep ended, `None` where it brought nothing; `lacks` says why it is not all.
+    pub fn swept(&mut self, now: i64, number: u64, sweep: Option<Sweep>, lacks: Vec<String>) {
+        self.set_clock(now);
+        let Some(learnt) = self.tenancy.learnt() else { return };
+        let before = learnt.full_at();
+        let Some(changes) = learnt.swept(now, number, sweep, lacks) else { return };
+        learnt.say(now);
+        let mut shares = Vec::new();
+        for change in &changes {
+            match change {
+                Change::Came { id, name } => {
+                    tracing::info!(tenant = name, id = %id, "a tenant came");
+                    shares.extend(learnt.share(*id));
+                }
+                Change::Renamed { id, from, to } => {
+                    tracing::info!(tenant = to, was = from, id = %id, "a tenant has another name")
+                }
+                Change::Went { id, name } => tracing::info!(tenant = name, id = %id, "a tenant went"),
+                Change::Members { name, count, .. } => {
+                    tracing::info!(tenant = name, members = count, "a tenant has other members")
+                }
+                Change::Share { id, name, from, to } => {
+                    tracing::info!(tenant = name, share = to, was = from, "a tenant has another share");
+                    shares.extend(learnt.share(*id));
+                }
+            }
+        }
+        if let Some(at) = learnt.full_at().filter(|_| learnt.full_at() != before) {
+            let all = learnt.memory_if_new().map(|m| m.1);
+            self.out.push_back(Out::Remember { at, all });
+        }
+        for (tenant, share) in shares {
+            self.tell(Told::TenantShare { tenant, share });
+        }
+        self.settle();
+    }
+
+    /// What was to be remembered could not be kept: all of it comes again with the next full sweep.
+    pub fn forgot(&mut self) {
+        if let Some(learnt) = self.tenancy.learnt() {
+            learnt.forgot();
+        }
     }
 
     fn set_clock(&mut self, now: i64) {
@@ -535,7 +624,8 @@
             })?;
             let job = Job {
                 framework,
-                tenant: place(&self.names.tenants, &l.tenant),
+                tenant: self.tenancy.of_launch(&l.tenant, &l.tenant_id),
+                stale_us: 0,
                 service: l.service,
                 cores: l.cores,
                 memory: l.memory,
@@ -578,11 +668,12 @@
                 self.placing.host.on_ledger(|l, acts| l.withdraw(&w.key.as_str().into(), w.ask, acts));
             }
             Body::Query(q) => {
-                let json = view::answer(self, &q.what, &q.about)?;
+                let json = view::answer(self, &self.login(conn), &q.what, &q.about)?;
                 let told = Body::Told(wire::Told { json, more: false });
                 self.out.push_back(Out::Conn { conn, body: told });
             }
             Body::Drain(drain) => {
+                self.tenancy.operates(now, &self.login(conn), "drain")?;
                 if !self.register_up {
                     return Err("drain: found no link to the register; expected one".into());
                 }
@@ -590,6 +681,17 @@
                 self.out.push_back(Out::Register(Body::Drain(drain)));
                 self.out.push_back(Out::Conn { conn, body: Body::Told(wire::Told { json, more: false }) });
             }
+            Body::Accept(_) => {
+                let login = self.login(conn);
+                self.tenancy.operates(now, &login, "accept")?;
+                self.tenancy.accept()?;
+                tracing::warn!(
+                    login = &*login,
+                    "an operator's word: the next full answer of the directory is believed"
+                );
+                let json = "{\"accepted\":true}".to_owned();
+                self.out.push_back(Out::Conn { conn, body: Body::Told(wire::Told { json, more: false }) });
+            }
             _ => {
                 return Err(
                     "found a frame that no owner sends; expected submit, withdraw, drain or query".into()
@@ -600,28 +702,39 @@
         Ok(())
     }
 
+    /// An owner or operator said hello.
+    pub fn conn_up(&mut self, conn: u64, login: &str) {
+        self.logins.insert(conn, login.into());
+    }
+
+    fn login(&self, conn: u64) -> Rc<str> {
+        self.logins.get(&conn).cloned().unwrap_or_default()
+    }
+
     pub fn conn_down(&mut self, conn: u64) {
+        self.logins.remove(&conn);
         self.placing.host.ledger.owner_left(conn);
     }
 
     fn submit(&mut self, conn: u64, s: wire::Submit) {
         self.counts.submitted += 1;
         let framework = self.names.frameworks.iter().position(|f| f.0 == s.framework);
-        let tenant = place(&self.names.tenants, &s.tenant);
+        let now = self.now();
+        let asked = self.tenancy.asked(now, &self.login(conn), &s.tenant);
         let sane = |x: f64| x.is_finite() && x > 0.0 && x < 1e9;
         let wrong = if s.key.is_empty() || s.key.len() > 500 {
             Some(format!("key: found {} bytes; expected 1 to 500", s.key.len()))
         } else if framework.is_none() {
             let known: Vec<&str> = self.names.frameworks.iter().map(|f| f.0.as_str()).collect();
             Some(format!("framework: found {:?}; expected one of {}", s.framework, known.join(", ")))
-        } else if !s.tenant.is_empty() && tenant.is_none() {
-            Some(format!("tenant: found {:?}; expected one of {}", s.tenant, self.names.tenants.join(", ")))
+        } else if let Err(e) = &asked {
+            Some(e.clone())
         } else if !sane(s.cores) || !sane(s.memory) {
             Some(format!("cores, memory: found {} and {}; expected two numbers over 0", s.cores, s.memory))
         } else {
             None
         };
-        let (Some(framework), None) = (framework, &wrong) else {
+        let (Some(framework), None, Ok(asked)) = (framework, &wrong, asked) else {
             let reason = wrong.unwrap_or_default();
             let kind = wire::AnswerKind::Declined as i32;
             let answer = wire::Answer { key: s.key, ask: s.ask, kind, reason, ..wire::Answer::default() };
@@ -629,9 +742,19 @@
         };
         let kind = self.names.frameworks[framework].1;
         let (cores, memory, runs_for_us) = (s.cores, s.memory, s.runs_for_us);
-        let job = Job { framework, tenant, service: s.service, cores, memory, runs_for_us };
+        let Asked { tenant, stale_us, refused } = asked;
+        let job = Job { framework, tenant, service: s.service, cores, memory, runs_for_us, stale_us };
         let key: Key = s.key.as_str().into();
-        self.placing.host.on_ledger(|l, acts| l.submit(key, s.ask, conn, kind, job, s.time_left_us, acts));
+        let host = &mut self.placing.host;
+        match refused {
+            None => host.on_ledger(|l, acts| l.submit(key, s.ask, conn, kind, job, s.time_left_us, acts)),
+            Some(why) => {
+                self.at_door = Some((s.ask, stale_us));
+                host.on_ledger(|l, acts| l.not_allowed(key, s.ask, conn, kind, job, why, acts));
+                self.settle();
+                self.at_door = None;
+            }
+        }
     }
 
     // What was decided is carried out.
@@ -742,12 +865,14 @@
             return self.placing.host.on_ledger(|l, acts| l.unsent(launch, acts));
         };
         let job = &record.job;
+        let (tenant, tenant_id) = job.tenant.map(|t| self.tenancy.called(t)).unwrap_or_default();
         let body = Body::Launch(wire::Launch {
             id: wire_id(launch),
             key: key.to_string(),
             ask: record.ask,
             framework: self.names.frameworks[job.framework].0.clone(),
-            tenant: job.tenant.map(|t| self.names.tenants[t].clone()).unwrap_or_default(),
+            tenant,
+            tenant_id,
             service: job.service,
             cores: job.cores,
             memory: job.memory,
@@ -767,6 +892,8 @@
 
     fn answer(&mut self, key: Key, ask: u64, owner: u64, answer: Answer) {
         let mut a = wire::Answer { key: key.to_string(), ask, ..wire::Answer::default() };
+        let rests_on = self.placing.host.ledger.record(&key).filter(|r| r.ask == ask);
+        a.stale_us = rests_on.map_or(0, |r| r.job.stale_us);
         match answer {
             Answer::Placed { machine } => {
                 self.counts.placed += 1;
@@ -777,6 +904,10 @@
                 self.counts.declined += 1;
                 a.kind = wire::AnswerKind::Declined as i32;
                 (a.retry_after_us, a.reason) = (retry_after_us, reason.words().to_owned());
+                if let Reason::NotAllowed(_) = reason {
+                    a.not_allowed = true;
+                    a.stale_us = self.at_door.filter(|d| d.0 == ask).map_or(a.stale_us, |d| d.1);
+                }
             }
             Answer::Aborted { reason } => {
                 self.counts.aborted += 1;
@@ -867,6 +998,10 @@
             .map(|(m, x)| (m, &x.standing, self.placing.belief(m)))
     }
 
+    pub(crate) fn tenancy(&self) -> &Tenancy {
+        &self.tenancy
+    }
+
     pub(crate) fn is_watching(&self) -> bool {
         self.watching
     }
--- a/planner/src/hands.rs
+++ b/planner/src/hands.rs
@@ -17,6 +17,8 @@
     pub cores: f64,
     pub memory: f64,
     pub runs_for_us: i64,
+    /// How old what was known of tenants was when it was asked for; see `Answer.stale_us`.
+    pub stale_us: i64,
 }
 
 /// What a timer is for.
--- a/planner/src/lib.rs
+++ b/planner/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod recording;
 pub mod service;
 pub mod standing;
+pub mod tenancy;
 pub mod told;
 pub mod view;
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -2,10 +2,14 @@
 //! machines and the register say is read before what owners ask; while the actor is behind, links grant their peers
 //! nothing more. A peer that does not read is cut off, and may come back and ask again.
 use crate::core::{Core, Out, Who, REGISTER};
+use crate::tenancy::{Learnt, Task, Ways};
 use basaltpitch::host::Given;
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Party};
 use basaltpitch_agent::wire::{Body, Role};
+use basaltpitch_directory::{Before, Directory, Fault, Seen, Swept};
+use basaltpitch_store::Store;
+use basaltpitch_tenants::keeper::FORMAT;
 use std::collections::HashMap;
 use std::io;
 use std::time::Duration;
@@ -32,15 +36,115 @@
     orders: mpsc::Sender<Order>,
 }
 
+/// What a planner is started with.
+pub struct Start {
+    pub who: Who,
+    pub given: Given,
+    /// Where the decisions are recorded.
+    pub record: Option<Box<dyn io::Write + Send>>,
+    /// Where tenants are learnt from.
+    pub directory: Option<Directory>,
+    /// What outlives this planner.
+    pub store: Option<Store>,
+}
+
+/// Names of what is remembered of tenants: all of it, and when it was last heard in full.
+const TENANTS: &str = "tenants";
+const HEARD: &str = "tenants heard";
+/// Memories that may wait for the disk; a further one waits for the next full sweep.
+const MOST_WAITING: usize = 4;
+
 /// Serves until `stop` is done. Owners and operators connect to `listener`.
-pub async fn serve(
-    listener: TcpListener,
-    who: Who,
-    given: Given,
-    record: Option<Box<dyn io::Write + Send>>,
-    stop: impl std::future::Future<Output = ()>,
-) {
-    LocalSet::new().run_until(actor(listener, who, given, record, stop)).await;
+pub async fn serve(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
+    LocalSet::new().run_until(actor(listener, start, stop)).await;
+}
+
+/// News of a sweep.
+enum Heard {
+    Answered(u64),
+    Ended(u64, Result<Swept, Fault>),
+}
+
+/// The directory's side of the service: one sweep at a time, beside the planner's other work.
+struct Sweeps {
+    directory: Directory,
+    /// What each server gave last.
+    seen: Vec<Seen>,
+    under: Option<(Task, tokio::task::JoinHandle<()>)>,
+    news: mpsc::Sender<Heard>,
+}
+
+impl Sweeps {
+    fn begin(&mut self, task: Task) {
+        if let Some((_, given_up)) = self.under.take() {
+            given_up.abort();
+        }
+        let last = std::mem::take(&mut self.seen[task.server]);
+        let seen = if task.whole { Seen::default() } else { last };
+        let before = Before { seen, cookie: task.cookie.clone() };
+        let (source, news, number, server) =
+            (self.directory.source.clone(), self.news.clone(), task.number, task.server);
+        let running = tokio::task::spawn_local(async move {
+            let answered = || {
+                let _ = news.try_send(Heard::Answered(number));
+            };
+            let swept = basaltpitch_directory::sweep(&source, server, before, answered).await;
+            let _ = news.send(Heard::Ended(number, swept)).await;
+        });
+        self.under = Some((task, running));
+    }
+
+    /// Keeps what the next sweep of the same server can go on from.
+    fn ended(&mut self, number: u64, swept: &mut Swept) {
+        if let Some((task, _)) = self.under.take_if(|u| u.0.number == number) {
+            self.seen[task.server] = std::mem::take(&mut swept.seen);
+        }
+    }
+}
+
+/// What is remembered is written on a thread of its own: the disk must not hold up the planner.
+fn writer(store: Store) -> std::sync::mpsc::SyncSender<(i64, Option<Vec<u8>>)> {
+    let (memories, inbox) = std::sync::mpsc::sync_channel::<(i64, Option<Vec<u8>>)>(MOST_WAITING);
+    std::thread::spawn(move || {
+        for (at, all) in inbox {
+            let kept = match all {
+                Some(all) => store.put(TENANTS, FORMAT, at, &all),
+                None => Ok(()),
+            };
+            if let Err(e) = kept.and_then(|()| store.put(HEARD, FORMAT, at, &[])) {
+                tracing::error!(error = %e, "tenants cannot be remembered; the planner serves on");
+            }
+        }
+    });
+    memories
+}
+
+/// What is remembered of tenants, with the time when it was last heard in full. What cannot be read is named and left.
+fn remembered(store: &Store) -> Option<(i64, Vec<u8>)> {
+    let get = |name| {
+        store.get(name, FORMAT).unwrap_or_else(|e| {
+            tracing::error!(error = %e, "what is remembered of tenants cannot be read; beginning without it");
+            None
+        })
+    };
+    let all = get(TENANTS)?;
+    Some((get(HEARD).map_or(all.at, |h| h.at.max(all.at)), all.bytes))
+}
+
+/// Begins to learn from a directory, with what an earlier life remembered.
+fn learnt(seed: u64, now: i64, directory: &Directory, store: Option<&Store>) -> Learnt {
+    let ways = Ways {
+        servers: directory.source.urls.clone(),
+        terms: directory.terms.clone(),
+        pace: directory.pace,
+        caution: directory.caution,
+    };
+    let kept = store.and_then(remembered);
+    let begun = Learnt::new(seed, now, ways.clone(), kept.as_ref().map(|k| (k.0, &k.1[..])));
+    begun.unwrap_or_else(|e| {
+        tracing::error!(error = e, "what is remembered of tenants makes no sense; beginning without it");
+        Learnt::new(seed, now, ways, None).expect("nothing is remembered")
+    })
 }
 
 struct Actor {
@@ -50,22 +154,34 @@
     peers: HashMap<usize, Linked>,
     conns: HashMap<u64, mpsc::Sender<Order>>,
     first: mpsc::Sender<(From, News)>,
+    sweeps: Option<Sweeps>,
+    memories: Option<std::sync::mpsc::SyncSender<(i64, Option<Vec<u8>>)>>,
 }
 
-async fn actor(
-    listener: TcpListener,
-    who: Who,
-    given: Given,
-    record: Option<Box<dyn io::Write + Send>>,
-    stop: impl std::future::Future<Output = ()>,
-) {
+async fn actor(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
+    let Start { who, given, record, directory, store } = start;
     let clock = Clock::start();
-    let me = Party { role: Role::Planner, name: who.name.clone(), epoch: who.epoch, link: 0 };
+    let me = Party {
+        role: Role::Planner,
+        name: who.name.clone(),
+        epoch: who.epoch,
+        link: 0,
+        login: String::new(),
+    };
     // Machines and the register have an inbox of their own, which goes first.
     let (first, mut machines) = mpsc::channel(INBOX);
     let (later, mut owners) = mpsc::channel(INBOX);
-    let core = Core::new(who, given, clock.now(), record);
-    let mut a = Actor { core, clock, me, peers: HashMap::new(), conns: HashMap::new(), first };
+    let (news, mut heard) = mpsc::channel(16);
+    let seed = who.seed;
+    let mut core = Core::new(who, given, clock.now(), record);
+    let sweeps = directory.map(|directory| {
+        core.learn(clock.now(), learnt(seed, clock.now(), &directory, store.as_ref()));
+        let seen = vec![Seen::default(); directory.source.urls.len()];
+        Sweeps { directory, seen, under: None, news }
+    });
+    let memories = store.map(writer);
+    let (peers, links) = (HashMap::new(), HashMap::new());
+    let mut a = Actor { core, clock, me, peers, conns: links, first, sweeps, memories };
     let mut conns = 0;
     // Out of descriptors, no connection is accepted for a moment; everything else goes on.
     let mut rests_until = 0;
@@ -84,6 +200,7 @@
                     a.hear(from, news);
                 }
             }
+            Some(of) = heard.recv() => a.hear_directory(of),
             () = tokio::time::sleep_until(wake) => a.core.clock(clock.now()),
             Some((from, news)) = owners.recv() => {
                 a.hear(from, news);
@@ -144,6 +261,23 @@
         });
     }
 
+    fn hear_directory(&mut self, heard: Heard) {
+        let now = self.clock.now();
+        match heard {
+            Heard::Answered(number) => self.core.sweep_answered(now, number),
+            Heard::Ended(number, Ok(mut swept)) => {
+                if let Some(sweeps) = &mut self.sweeps {
+                    sweeps.ended(number, &mut swept);
+                }
+                self.core.swept(now, number, Some(swept.sweep), swept.lacks);
+            }
+            Heard::Ended(number, Err(fault)) => {
+                tracing::info!(error = %fault, "a sweep of the directory brought nothing");
+                self.core.swept(now, number, None, vec![fault.to_string()]);
+            }
+        }
+    }
+
     fn hear(&mut self, from: From, news: News) {
         let now = self.clock.now();
         match from {
@@ -232,6 +366,7 @@
             News::Session(Event::Up(party)) if !matches!(party.role, Role::Owner | Role::Operator) => {
                 self.close_conn(conn, "role: expected an owner or an operator");
             }
+            News::Session(Event::Up(party)) => self.core.conn_up(conn, &party.login),
             News::Session(Event::Frame(body)) => {
                 if let Err(e) = self.core.conn_frame(now, conn, body) {
                     tracing::warn!(conn, error = e, "a question that makes no sense");
@@ -266,6 +401,18 @@
                 }
                 Out::Machine { machine, body, mark } => self.send_machine(machine, body, mark),
                 Out::Conn { conn, body } => self.send_conn(conn, body),
+                Out::Sweep(task) => {
+                    if let Some(sweeps) = &mut self.sweeps {
+                        sweeps.begin(task);
+                    }
+                }
+                Out::Remember { at, all } => {
+                    let full = self.memories.as_ref().is_some_and(|m| m.try_send((at, all)).is_err());
+                    if full {
+                        tracing::warn!("tenants are not remembered: the disk is too slow");
+                        self.core.forgot();
+                    }
+                }
                 Out::Hang { machine, why } => {
                     if let Some(linked) = self.peers.get(&machine) {
                         let _ = linked.orders.try_send(Order::Close(why.to_owned()));
--- a/planner/src/view.rs
+++ b/planner/src/view.rs
@@ -11,19 +11,27 @@
     (x * 1000.0).round() / 1000.0
 }
 
-/// Answers a question: `planner`, `machines`, `tasks` (all open and placed ones) or `task` about one key.
-pub fn answer(core: &Core, what: &str, about: &str) -> Result<String, String> {
+/// Answers a question: `planner`, `machines`, `tasks` (all open and placed ones that the login may see), `task` about one
+/// key, or one about tenants: `tenants`, `tenant`, `members`, `why` or `directory`.
+pub fn answer(core: &Core, login: &str, what: &str, about: &str) -> Result<String, String> {
     let value = match what {
         "planner" => planner(core),
         "machines" => machines(core),
-        "tasks" => tasks(core, None),
-        "task" => match tasks(core, Some(about)) {
+        "tasks" => tasks(core, login, None),
+        "task" => match tasks(core, login, Some(about)) {
             Value::Array(rows) if rows.is_empty() => {
-                return Err(format!("task: found {about:?}; expected a key that is known here"))
+                return Err(format!("task: found {about:?}; expected a key that is known here, of a task that this login may see"))
             }
             rows => rows,
         },
-        _ => return Err(format!("query: found {what:?}; expected planner, machines, tasks or task")),
+        "tenants" | "tenant" | "members" | "why" | "directory" => {
+            core.tenancy().question(core.clock_now(), login, what, about)?
+        }
+        _ => {
+            return Err(format!(
+                "query: found {what:?}; expected planner, machines, tasks, task, tenants, tenant, members, why or directory"
+            ))
+        }
     };
     Ok(value.to_string())
 }
@@ -66,9 +74,11 @@
     rows.collect()
 }
 
-fn tasks(core: &Core, one: Option<&str>) -> Value {
+fn tasks(core: &Core, login: &str, one: Option<&str>) -> Value {
+    let (now, tenancy) = (core.clock_now(), core.tenancy());
     let shown = |phase: Phase| phase.is_open() || phase == Phase::Placed;
     let rows = core.ledger().records().filter(|(key, r)| one.map_or(shown(r.phase), |k| &***key == k));
+    let rows = rows.filter(|(_, r)| tenancy.sees(now, login, r.job.tenant));
     let rows = rows.take(MOST_ROWS).map(|(key, r)| {
         let state = match r.phase {
             Phase::Waiting => "waiting".to_owned(),
@@ -91,6 +101,8 @@
             "ask": r.ask,
             "kind": kind_words(r.kind),
             "framework": core.framework_name(r.job.framework),
+            "tenant": r.job.tenant.map(|t| tenancy.called(t).0),
+            "tenant_was": r.job.tenant.and_then(|t| tenancy.was(now, t)),
             "cores": r.job.cores, "memory": r.job.memory, "service": r.job.service,
             "state": state,
             "launches": r.launches,
--- a/planner/tests/net/mod.rs
+++ b/planner/tests/net/mod.rs
@@ -99,6 +99,13 @@
     starts: HashMap<usize, i64>,
     /// Links in the order in which the planner wants them.
     dials: VecDeque<(usize, u64)>,
+    /// For whom tasks are submitted, and what the planner said last of its directory.
+    pub tenant: String,
+    pub sweeps: Vec<basaltpitch_planner::tenancy::Task>,
+    pub memories: Vec<(i64, Option<Vec<u8>>)>,
+    pub heard: Vec<wire::Answer>,
+    pub told: Vec<String>,
+    pub launched: Vec<wire::Launch>,
 }
 
 fn wire_id(id: Id) -> Option<LaunchId> {
@@ -136,6 +143,12 @@
             standing: HashMap::new(),
             twice: None,
             dials: VecDeque::new(),
+            tenant: String::new(),
+            sweeps: Vec::new(),
+            memories: Vec::new(),
+            heard: Vec::new(),
+            told: Vec::new(),
+            launched: Vec::new(),
             starts: HashMap::new(),
         };
         for m in &net.machines {
@@ -213,6 +226,7 @@
                             w.to_machine.push_back(body.clone());
                             let name = mac.name.clone();
                             if let Body::Launch(l) = &body {
+                                self.launched.push(l.clone());
                                 self.note(format!("launch {} of {} on {name}", l.id.unwrap().number, l.key));
                             }
                             let (now, life) = (self.now, self.life());
@@ -222,11 +236,14 @@
                         _ => {}
                     }
                 }
+                Out::Sweep(task) => self.sweeps.push(task),
+                Out::Remember { at, all } => self.memories.push((at, all)),
                 Out::Conn { body, .. } => {
                     let (now, life) = (self.now, self.life());
                     self.auditor.owner_got(now, &life, &body);
                     match body {
                         Body::Answer(a) => {
+                            self.heard.push(a.clone());
                             let words = ["?", "placed", "declined", "aborted"][a.kind as usize];
                             let on = if a.machine.is_empty() {
                                 String::new()
@@ -238,6 +255,7 @@
                             self.note(format!("{} asking {}: {words}{on}{why}", a.key, a.ask));
                             self.answers.entry((self.epoch, a.key, a.ask)).or_default().push((now, a.kind));
                         }
+                        Body::Told(t) => self.told.push(t.json),
                         Body::Life(l) => self.note(format!("{} asking {}: life {}", l.key, l.ask, l.how)),
                         _ => {}
                     }
@@ -503,7 +521,7 @@
             key: key.into(),
             ask,
             framework: framework.into(),
-            tenant: String::new(),
+            tenant: self.tenant.clone(),
             service: key.len() as u64,
             cores: if framework == BIG { 4.0 } else { 1.0 },
             memory: 2.0,
@@ -517,6 +535,13 @@
         self.carry();
     }
 
+    /// A question or an operator's word on the connection; an error is what the planner ends it with.
+    pub fn ask(&mut self, body: Body) -> Result<String, String> {
+        self.core.conn_frame(self.now, 1, body)?;
+        self.carry();
+        Ok(self.told.pop().unwrap_or_default())
+    }
+
     pub fn withdraw(&mut self, key: &str, ask: u64) {
         let life = self.life();
         self.auditor.owner_withdrew(&life, key, ask);
--- a/planner/tests/sockets.rs
+++ b/planner/tests/sockets.rs
@@ -5,7 +5,7 @@
 use basaltpitch_agent::session::{Event, Party};
 use basaltpitch_agent::wire::{self, AnswerKind, Body, LifeHow, Role};
 use basaltpitch_planner::core::Who;
-use basaltpitch_planner::service::serve;
+use basaltpitch_planner::service::{serve, Start};
 use basaltpitch_records::installation::{load_texts, Laid, Seat};
 use basaltpitch_standins::drill;
 use basaltpitch_standins::machine::{self, World};
@@ -49,7 +49,8 @@
     };
     let given: Given = site.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
     let who = Who { name: "p".into(), epoch: 1, seed: 1, register: register.address.clone() };
-    tokio::task::spawn_local(serve(listener, who, given, record, std::future::pending()));
+    let start = Start { who, given, record, directory: None, store: None };
+    tokio::task::spawn_local(serve(listener, start, std::future::pending()));
     (address, world)
 }
 
@@ -63,7 +64,7 @@
         let stream = TcpStream::connect(address).await.unwrap();
         let (orders, inbox) = mpsc::channel(64);
         let (news, heard) = mpsc::channel(64);
-        let me = Party { role, name: "tester".into(), epoch: 1, link: 1 };
+        let me = Party { role, name: "tester".into(), epoch: 1, link: 1, login: String::new() };
         tokio::task::spawn_local(link::run(stream, me, Clock::start(), inbox, news, |n| n));
         Talk { orders, heard }
     }
@@ -215,7 +216,7 @@
             .hear()
             .await
             .unwrap_err()
-            .contains("found \"weather\"; expected planner, machines, tasks or task"));
+            .contains("found \"weather\"; expected planner, machines, tasks, task, tenants,"));
     });
 }
 
--- a/records/src/installation.rs
+++ b/records/src/installation.rs
@@ -34,6 +34,17 @@
     read_all(sources)
 }
 
+/// The sources of files that were read before, to show faults in.
+pub fn sources(files: &[impl AsRef<Path>]) -> Sources {
+    let mut sources = Sources::default();
+    sources.add("built-in types", SCHEMA);
+    for file in files {
+        let text = std::fs::read_to_string(file).unwrap_or_default();
+        sources.add(&file.as_ref().display().to_string(), &text);
+    }
+    sources
+}
+
 /// The same for texts with names.
 pub fn load_texts(texts: &[(&str, &str)]) -> Result<Installation, (Sources, Vec<Fault>)> {
     let mut sources = Sources::default();
@@ -105,6 +116,10 @@
             faults.push(Fault::new(place("kind"), what));
         }
     }
+    if let (Some(directory), [first, ..]) = (all.get("directory"), all.list("tenants")) {
+        let what = "tenants: found a list beside a directory; expected one of them";
+        faults.push(Fault::new(first.at, what).with(directory.at, "the directory"));
+    }
     let shares: f64 = all.list("tenants").iter().filter_map(|t| t.number("share")).sum();
     if !all.list("tenants").is_empty() && (shares - 1.0).abs() > 0.001 {
         let at = all.get("tenants").map_or(all.at, |t| t.at);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,7 +3,7 @@
 //! `Host`, then calls one method for each thing that happens: list, task, launch, note, probe, timer.
 //! The planner acts by calling the host at once. The interface is in `host.rs`, the why in `docs/design.md`.
 #![allow(clippy::too_many_arguments)]
-use crate::host::{number, text, Belief, Given, Host, Outcome, Place, Readiness, Room};
+use crate::host::{number, text, Belief, Given, Host, Outcome, Place, Readiness, Room, Value};
 
 /// Confidence 99%: the standard normal quantile (the paper's D; DESIGN runs 99.9% and 99%).
 const D: f64 = 2.326;
@@ -243,6 +243,11 @@
         self.mac.number[m] = number;
     }
 
+    /// A tenant's share of the fleet, in place of the one that the settings gave.
+    pub fn tenant_share(&mut self, tenant: usize, share: f64) {
+        self.given.insert(format!("tenants.{tenant}.share"), Value::Number(share));
+    }
+
     pub fn service_number(&mut self, s: usize, number: u64) {
         let known = self.service_numbers.len().max(s + 1);
         self.service_numbers.resize(known, number);
--- a/standins/src/machine.rs
+++ b/standins/src/machine.rs
@@ -258,6 +258,7 @@
             name: self.me.name.clone(),
             epoch: self.me.started.get() as u64,
             link: conn,
+            login: String::new(),
         };
         tokio::task::spawn_local(link::run(outer, me, clock, inbox, news, move |n| In::Conn(conn, n)));
     }
--- a/standins/src/owner.rs
+++ b/standins/src/owner.rs
@@ -230,7 +230,13 @@
             }
         };
         tokio::task::spawn_local(rough::carry(stream, inner, conn, Rc::new(Knobs::default()), clock, show));
-        let me = Party { role: Role::Owner, name: format!("owner-{}", self.number), epoch: 1, link: conn };
+        let me = Party {
+            role: Role::Owner,
+            name: format!("owner-{}", self.number),
+            epoch: 1,
+            link: conn,
+            login: String::new(),
+        };
         let to = news.clone();
         tokio::task::spawn_local(link::run(outer, me, clock, inbox, to, move |n| (conn, n)));
         self.orders = Some(orders);
--- a/standins/src/register.rs
+++ b/standins/src/register.rs
@@ -100,7 +100,13 @@
             }
         };
         tokio::task::spawn_local(rough::carry(stream, inner, conn, self.me.knobs.clone(), clock, show));
-        let me = Party { role: Role::Register, name: "register".into(), epoch: 1, link: conn };
+        let me = Party {
+            role: Role::Register,
+            name: "register".into(),
+            epoch: 1,
+            link: conn,
+            login: String::new(),
+        };
         tokio::task::spawn_local(link::run(outer, me, clock, inbox, news, move |n| (conn, n)));
     }
 
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -48,6 +48,9 @@
     /// Opens the file, or begins it. Only what keeps a new file from being begun is an error.
     pub fn open(path: &Path) -> Result<(Store, Found), Fault> {
         let there = path.exists();
+        if let Some(what) = Self::in_use(path) {
+            return Err(Fault::File { path: path.to_owned(), what });
+        }
         let why = match Self::try_open(path) {
             Ok(db) => {
                 let found = if there { Found::Ours } else { Found::Nothing };
@@ -66,6 +69,17 @@
         Ok((Store { path: path.to_owned(), db }, Found::SetAside { to, why }))
     }
 
+    /// A file that another process has open is well, and must not be set aside.
+    fn in_use(path: &Path) -> Option<String> {
+        let open = || path.exists().then(|| Database::open(path).err()).flatten();
+        match std::panic::catch_unwind(open) {
+            Ok(Some(e @ redb::DatabaseError::DatabaseAlreadyOpen)) => {
+                Some(format!("found a file in use ({e}); expected one of this planner's own"))
+            }
+            _ => None,
+        }
+    }
+
     /// A file is ours if it opens, its pages add up, and it has our table or none.
     fn try_open(path: &Path) -> Result<Database, String> {
         let open = || {
--- a/store/tests/files.rs
+++ b/store/tests/files.rs
@@ -27,6 +27,16 @@
     assert_eq!(store.get("quotas", 1).unwrap(), None);
 }
 
+#[test]
+fn a_file_in_use_is_not_set_aside() {
+    let path = file("in-use");
+    full(&path);
+    let (_store, _) = Store::open(&path).unwrap();
+    let said = Store::open(&path).map(|x| x.1).unwrap_err().to_string();
+    assert!(said.contains("found a file in use"), "{said}");
+    assert!(path.exists());
+}
+
 #[test]
 fn another_format_is_named() {
     let path = file("format");
--- a/tenants/src/keeper.rs
+++ b/tenants/src/keeper.rs
@@ -17,6 +17,8 @@
     /// Names of before, and when a renaming was heard.
     was: Vec<(Id, String, i64)>,
     mark: Mark,
+    /// Of each server, by its name, from where on it can say what changed.
+    cookies: Vec<(String, Vec<u8>)>,
 }
 
 pub struct Keeper {
@@ -25,20 +27,30 @@
     health: Health,
     caution: Caution,
     said: Option<State>,
+    /// Of each server, how many sweeps ago all of it was read; none: it is to be read whole.
+    since_whole: Vec<Option<u32>>,
+    /// Names of the servers, and from where on each can say what changed.
+    servers: Vec<(String, Option<Vec<u8>>)>,
+    under: Option<usize>,
 }
 
+/// A server is read whole again after so many sweeps that read changes only: what two changes within one tick of its
+/// stamps hid comes to light then at the latest.
+const WHOLE_EVERY: u32 = 40;
+
 impl Keeper {
     /// `remembered`: what `memory` gave, and when it was heard in full. An error says why it cannot be read; begin
     /// without it then.
     pub fn new(
         seed: u64,
         now: i64,
-        servers: usize,
+        servers: &[String],
         remembered: Option<(i64, &[u8])>,
         pace: Pace,
         caution: Caution,
     ) -> Result<Self, String> {
         let (mut known, mut trust) = (Tenants::default(), Trust::default());
+        let mut servers: Vec<_> = servers.iter().map(|s| (s.clone(), None)).collect();
         if let Some((at, bytes)) = remembered {
             let memory: Memory = serde_json::from_slice(bytes)
                 .map_err(|e| format!("remembered tenants: found {e}; expected entries of format {FORMAT}"))?;
@@ -48,13 +60,20 @@
             known.take(at, memory.entries, &[]);
             for (id, name, at) in memory.was {
                 if let Some(k) = known.known.get_mut(&id) {
+                    known.old_names.insert(name.clone(), id);
                     k.was = Some((name, at));
                 }
             }
             trust.remember(memory.mark);
+            for (name, cookie) in memory.cookies {
+                if let Some(server) = servers.iter_mut().find(|s| s.0 == name) {
+                    server.1 = Some(cookie);
+                }
+            }
         }
-        let health = Health::new(seed, now, servers, remembered.map(|r| r.0), pace);
-        Ok(Keeper { known, trust, health, caution, said: None })
+        let health = Health::new(seed, now, servers.len(), remembered.map(|r| r.0), pace);
+        let since_whole = servers.iter().map(|s| s.1.as_ref().map(|_| 0)).collect();
+        Ok(Keeper { known, trust, health, caution, said: None, since_whole, servers, under: None })
     }
 
     /// What to remember, as of the last full sweep.
@@ -66,13 +85,24 @@
             Some((*id, name, at))
         });
         let (was, mark) = (was.collect(), self.trust.mark().clone());
-        let memory = Memory { entries, order: self.known.tenants.clone(), was, mark };
+        let with_cookie = self.servers.iter().filter_map(|s| Some((s.0.clone(), s.1.clone()?)));
+        let (order, cookies) = (self.known.tenants.clone(), with_cookie.collect());
+        let memory = Memory { entries, order, was, mark, cookies };
         Some((at, serde_json::to_vec(&memory).expect("plain values")))
     }
 
     /// The server to sweep now, if it is time.
     pub fn next(&mut self, now: i64) -> Option<usize> {
-        self.health.next(now)
+        let next = self.health.next(now);
+        if next.is_some() {
+            self.under = next;
+        }
+        next
+    }
+
+    /// Whether the sweep that is under way must read everything, or what changed at its server is enough.
+    pub fn whole(&self) -> bool {
+        self.under.is_none_or(|s| self.since_whole[s].is_none_or(|n| n >= WHOLE_EVERY))
     }
 
     pub fn next_at(&self) -> i64 {
@@ -84,15 +114,29 @@
         self.health.answered();
     }
 
+    /// From where on the server of the sweep that is under way can say what changed, if it is not to be read whole.
+    pub fn cookie(&self) -> Option<Vec<u8>> {
+        self.under.filter(|_| !self.whole()).and_then(|s| self.servers[s].1.clone())
+    }
+
     /// The sweep that is under way ended; `None`: nothing came of it.
     pub fn swept(&mut self, now: i64, sweep: Option<Sweep>) -> Vec<Change> {
         let Some(sweep) = sweep else {
+            self.under = None;
             self.health.ended(now, Ended::Failed);
             return Vec::new();
         };
-        let complete = sweep.complete;
+        let (complete, whole) = (sweep.complete, self.whole());
+        let cookie = sweep.cookie.clone();
         let believed = self.trust.judge(now, &self.known, sweep, self.caution);
-        let full = complete && !believed.older;
+        let full = complete && !believed.older && !believed.unknown;
+        if let Some(server) = self.under.take() {
+            let since = if whole { 0 } else { self.since_whole[server].unwrap_or(0) + 1 };
+            // What is held would not be named again by a server that says only what changed.
+            let goes_on = full && self.trust.held().is_none();
+            self.since_whole[server] = goes_on.then_some(since);
+            self.servers[server].1 = cookie.filter(|_| goes_on);
+        }
         let changes = self.known.take_in(now, believed.entries, &believed.gone, believed.as_is);
         self.health.ended(now, if full { Ended::Full } else { Ended::Partial });
         changes
@@ -102,6 +146,20 @@
         self.health.state(now)
     }
 
+    /// How old what is known is: 0 while it is fresh, -1 while nothing is known.
+    pub fn stale_us(&self, now: i64) -> i64 {
+        match (self.state(now), self.full_at()) {
+            (State::Fresh, _) => 0,
+            (_, Some(at)) => (now - at).max(1),
+            (_, None) => -1,
+        }
+    }
+
+    /// When what was declined by what is known now is worth asking again: once a sweep can have brought news.
+    pub fn retry_after_us(&self, now: i64) -> i64 {
+        (self.next_at() - now).max(1_000_000)
+    }
+
     /// The state, once each time that it is another: for the log.
     pub fn news(&mut self, now: i64) -> Option<State> {
         let state = self.state(now);
@@ -110,7 +168,7 @@
 
     /// Who may do what, by what is known now.
     pub fn rule(&self, now: i64, terms: &Terms, login: &str, asks: Asks) -> Ruling {
-        rule(&self.known, self.state(now), terms, login, asks)
+        rule(&self.known, now, self.state(now), terms, login, asks)
     }
 
     pub fn tenants(&self) -> &Tenants {
@@ -126,6 +184,11 @@
         self.trust.is_behind()
     }
 
+    /// How often anything that is remembered changed.
+    pub fn edits(&self) -> u64 {
+        self.known.edits()
+    }
+
     /// When all was last heard.
     pub fn full_at(&self) -> Option<i64> {
         self.health.full_at()
@@ -138,6 +201,7 @@
 
     /// An operator's word for what is held.
     pub fn accept(&mut self) -> bool {
+        self.since_whole.fill(None);
         self.trust.accept()
     }
 }
--- a/tenants/src/lib.rs
+++ b/tenants/src/lib.rs
@@ -19,6 +19,24 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Id(pub u128);
 
+impl Id {
+    /// Reads 32 hex digits, with or without dashes.
+    pub fn read(text: &str) -> Option<Id> {
+        let digits: String = text.chars().filter(|c| *c != '-').collect();
+        let hex = digits.len() == 32 && digits.bytes().all(|b| b.is_ascii_hexdigit());
+        hex.then(|| u128::from_str_radix(&digits, 16).ok().map(Id)).flatten()
+    }
+}
+
+impl std::fmt::Display for Id {
+    /// As RFC 4122 writes it.
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let hex = format!("{:032x}", self.0);
+        let parts = [&hex[..8], &hex[8..12], &hex[12..16], &hex[16..20], &hex[20..]];
+        f.write_str(&parts.join("-"))
+    }
+}
+
 /// When an entry last changed, as the directory says; later ones are larger. Generalized time in text sorts so.
 pub type Stamp = String;
 
@@ -58,6 +76,10 @@
     /// Every page came, no limit was met and no referral: what is not in it is not in the directory.
     pub complete: bool,
     pub mark: Mark,
+    /// Entries that the server says were deleted; all others are as they were. None: what is not in it is gone.
+    pub gone: Option<Vec<Id>>,
+    /// From where on the server can say what changed.
+    pub cookie: Option<Vec<u8>>,
 }
 
 impl Sweep {
@@ -116,12 +138,22 @@
     /// Tenants' indices are never given to another: the module's shares and running tasks rest on them.
     tenants: Vec<Id>,
     places: FnvHashMap<Id, usize>,
+    /// The last known name of each tenant, by index; empty where none was heard.
+    names: Vec<String>,
+    /// Names of before that no tenant has now; see `find`.
+    old_names: FnvHashMap<String, Id>,
     /// The last stamp of an entry that went.
     gone: FnvHashMap<Id, Stamp>,
     closure: Closure,
+    edits: u64,
 }
 
 impl Tenants {
+    /// How often anything changed.
+    pub fn edits(&self) -> u64 {
+        self.edits
+    }
+
     /// What is known of an entry.
     pub fn entry(&self, id: Id) -> Option<&Entry> {
         self.known.get(&id).map(|k| &k.entry)
@@ -185,6 +217,7 @@
 
     fn put(&mut self, now: i64, entry: Entry, dirty: &mut BTreeSet<Id>, changes: &mut Vec<Change>) {
         let id = entry.id;
+        self.edits += 1;
         self.gone.remove(&id);
         let number = match entry.what {
             What::Person => self.persons.enter(id),
@@ -210,12 +243,14 @@
             dirty.insert(id);
         }
         if let What::Tenant { share } = entry.what {
-            self.place(id);
+            let index = self.place(id);
+            self.names[index].clone_from(&entry.name);
             match &old {
                 None => changes.push(Change::Came { id, name: entry.name.clone() }),
                 Some(k) => {
                     if k.entry.name != entry.name {
                         was = Some((k.entry.name.clone(), now));
+                        self.old_names.insert(k.entry.name.clone(), id);
                         let (from, to) = (k.entry.name.clone(), entry.name.clone());
                         changes.push(Change::Renamed { id, from, to });
                     }
@@ -244,6 +279,7 @@
 
     fn drop_entry(&mut self, id: Id, dirty: &mut BTreeSet<Id>, changes: &mut Vec<Change>) {
         let Some(k) = self.known.remove(&id) else { return };
+        self.edits += 1;
         self.unname(&k.entry);
         self.dn_moves(&k.entry.dn, dirty);
         self.mention(id, &k.entry.members, &[]);
@@ -284,9 +320,29 @@
         self.known.get(&id).map_or(0, |k| self.closure.count(k.number))
     }
 
-    /// A tenant by its name of now.
-    pub fn find(&self, name: &str) -> Option<Id> {
-        self.by_name.get(name).copied().filter(|id| self.index(*id).is_some())
+    /// A tenant by its id in hex digits or its name; by its name of before for a while, if no other has that now, so
+    /// that those who ask need not change in the moment of a renaming.
+    pub fn find(&self, name: &str, now: i64) -> Option<Id> {
+        let there = |id: &Id| self.index(*id).is_some();
+        let was = |id: &Id| {
+            let was = self.known.get(id).and_then(|k| k.was.as_ref());
+            there(id) && was.is_some_and(|w| w.0 == name && now < w.1 + OLD_NAME_SHOWN)
+        };
+        let by_id = Id::read(name).filter(there);
+        let by_name = || self.by_name.get(name).copied().filter(there);
+        by_id.or_else(by_name).or_else(|| self.old_names.get(name).copied().filter(was))
+    }
+
+    /// The name of the tenant under an index, the last known one if it is gone.
+    pub fn name_at(&self, index: usize) -> &str {
+        self.names.get(index).map_or("", String::as_str)
+    }
+
+    /// The people in a group or tenant, by login.
+    pub fn people(&self, group: Id) -> Vec<&str> {
+        let Some(g) = self.known.get(&group) else { return Vec::new() };
+        let entry = |n: u32| self.known.get(self.persons.id(n as usize)).map(|k| k.entry.name.as_str());
+        self.closure.persons(g.number).filter_map(entry).collect()
     }
 
     pub fn login(&self, login: &str) -> Option<Id> {
@@ -297,6 +353,7 @@
     pub fn place(&mut self, id: Id) -> usize {
         *self.places.entry(id).or_insert_with(|| {
             self.tenants.push(id);
+            self.names.push(String::new());
             self.tenants.len() - 1
         })
     }
--- a/tenants/src/rights.rs
+++ b/tenants/src/rights.rs
@@ -23,9 +23,9 @@
         tenant: &'a str,
     },
     Drain,
-    /// See a task of that tenant's.
+    /// See a task of that tenant's; of none: of a tenant that is not known.
     See {
-        tenant: &'a str,
+        tenant: Option<Id>,
     },
 }
 
@@ -72,7 +72,8 @@
     pub stale: bool,
 }
 
-pub fn rule(known: &Tenants, state: State, terms: &Terms, login: &str, asks: Asks) -> Ruling {
+/// The ruling at a time, in a state of the directory.
+pub fn rule(known: &Tenants, now: i64, state: State, terms: &Terms, login: &str, asks: Asks) -> Ruling {
     let stale = state != State::Fresh;
     let ruling = |may, why| Ruling { may, why, stale };
     let submits = matches!(asks, Asks::Submit { .. });
@@ -92,7 +93,7 @@
     };
     let member = |tenant: Id| known.is_member(person, tenant);
     match asks {
-        Asks::Submit { tenant } => match known.find(tenant) {
+        Asks::Submit { tenant } => match known.find(tenant, now) {
             None => ruling(false, Why::NoSuchTenant),
             Some(t) if member(t) => ruling(true, Why::Member),
             Some(_) => ruling(false, Why::NotAMember),
@@ -101,7 +102,7 @@
         Asks::Drain => ruling(false, Why::NotAnOperator),
         Asks::See { .. } if in_one(&terms.operators) => ruling(true, Why::Operator),
         Asks::See { .. } if in_one(&terms.auditors) => ruling(true, Why::Auditor),
-        Asks::See { tenant } => match known.find(tenant) {
+        Asks::See { tenant } => match tenant {
             None => ruling(false, Why::NoSuchTenant),
             Some(t) if member(t) => ruling(true, Why::Member),
             Some(_) => ruling(false, Why::NotAMember),
--- a/tenants/src/trust.rs
+++ b/tenants/src/trust.rs
@@ -36,6 +36,8 @@
     pub gone: Vec<Id>,
     /// The sweep came from a server that lags behind what was seen before.
     pub older: bool,
+    /// The server names entries as unchanged that are not known: all of it must be read anew.
+    pub unknown: bool,
     /// An operator's word: entries count however old they are.
     pub as_is: bool,
 }
@@ -84,7 +86,8 @@
 
     pub fn judge(&mut self, now: i64, known: &Tenants, sweep: Sweep, caution: Caution) -> Believed {
         let older = self.lags(known, &sweep);
-        let mut believed = Believed { older, ..Believed::default() };
+        let unknown = sweep.present.iter().any(|&id| known.entry(id).is_none());
+        let mut believed = Believed { older, unknown, ..Believed::default() };
         if !sweep.complete || older && !self.accepted {
             self.behind |= older;
             believed.entries = sweep.entries;
@@ -92,7 +95,13 @@
         }
         self.behind = false;
         let there: BTreeSet<Id> = sweep.entries.iter().map(|e| e.id).chain(sweep.present).collect();
-        let missing: BTreeSet<Id> = known.ids().map(|x| x.0).filter(|id| !there.contains(id)).collect();
+        let named = sweep.gone.is_some();
+        let missing: BTreeSet<Id> = match sweep.gone {
+            Some(gone) => {
+                gone.into_iter().filter(|id| known.entry(*id).is_some() && !there.contains(id)).collect()
+            }
+            None => known.ids().map(|x| x.0).filter(|id| !there.contains(id)).collect(),
+        };
         believed.entries = sweep.entries;
         if self.accepted {
             // The mark starts anew: the directory may have been set back.
@@ -102,7 +111,7 @@
         }
         let held = if much_is_missing(known, &missing, caution) {
             missing.clone()
-        } else if sweep.mark.is_empty() {
+        } else if sweep.mark.is_empty() && !named {
             newer_than_all(known, &there, &believed.entries, &missing)
         } else {
             BTreeSet::new()
--- a/tenants/tests/directory.rs
+++ b/tenants/tests/directory.rs
@@ -2,7 +2,7 @@
 use basaltpitch_tenants::health::State;
 use basaltpitch_tenants::rights::{rule, Asks, Terms, Why};
 use basaltpitch_tenants::trust::{Caution, Trust};
-use basaltpitch_tenants::{Change, Entry, Id, Sweep, Tenants, What};
+use basaltpitch_tenants::{Change, Entry, Id, Sweep, Tenants, What, OLD_NAME_SHOWN};
 use expect_test::expect;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,7 +43,7 @@
 
 fn members(t: &Tenants, name: &str) -> Vec<&'static str> {
     let all = [(1, "asha"), (2, "ravi"), (3, "meera")];
-    let Some(id) = t.find(name) else { return vec!["no such tenant"] };
+    let Some(id) = t.find(name, 0) else { return vec!["no such tenant"] };
     all.iter().filter(|p| t.is_member(Id(p.0), id)).map(|p| p.1).collect()
 }
 
@@ -62,9 +62,10 @@
     let index = t.index(Id(20));
     let changes = t.take(1000, vec![tenant(20, "kitchen", &["cooks"], 2)], &[]);
     assert_eq!(changes, [Change::Renamed { id: Id(20), from: "orders".into(), to: "kitchen".into() }]);
-    assert_eq!((t.find("orders"), t.index(Id(20))), (None, index));
+    assert_eq!((t.find("orders", 1000 + OLD_NAME_SHOWN), t.index(Id(20))), (None, index));
+    assert_eq!(t.find("orders", 2000), Some(Id(20)), "the old name leads to it for a while");
     assert_eq!(t.tenant(Id(20), 2000).unwrap().was.as_deref(), Some("orders"));
-    assert_eq!(t.tenant(Id(20), 1000 + basaltpitch_tenants::OLD_NAME_SHOWN).unwrap().was, None);
+    assert_eq!(t.tenant(Id(20), 1000 + OLD_NAME_SHOWN).unwrap().was, None);
 }
 
 /// Renamed, and another created under the old name, in one sweep and in either order of entries.
@@ -77,7 +78,11 @@
             entries.reverse();
         }
         t.take(1000, entries, &[]);
-        assert_eq!((t.find("orders"), t.find("kitchen")), (Some(Id(30)), Some(Id(20))), "swapped: {swapped}");
+        assert_eq!(
+            (t.find("orders", 0), t.find("kitchen", 0)),
+            (Some(Id(30)), Some(Id(20))),
+            "swapped: {swapped}"
+        );
         assert_eq!(members(&t, "kitchen"), ["asha", "ravi"]);
         assert_eq!(members(&t, "orders"), ["meera"]);
         assert_ne!(t.index(Id(20)), t.index(Id(30)));
@@ -101,9 +106,9 @@
     let index = t.index(Id(20));
     t.take(1, vec![group(12, "keepers", &["meera"], 5)], &[]);
     t.take(2, vec![], &[Id(20)]);
-    assert_eq!((t.find("orders"), t.index(Id(20))), (None, None));
+    assert_eq!((t.find("orders", 0), t.index(Id(20))), (None, None));
     t.take(3, vec![tenant(20, "orders", &["meera"], 0)], &[]);
-    assert_eq!(t.find("orders"), None, "older than what went");
+    assert_eq!(t.find("orders", 0), None, "older than what went");
     t.take(4, vec![tenant(20, "orders", &["meera"], 6)], &[]);
     assert_eq!((members(&t, "orders"), t.index(Id(20))), (vec!["meera"], index));
     t.take(5, vec![tenant(20, "orders", &["asha"], 4)], &[]);
@@ -121,10 +126,10 @@
             ("submit for stores", Asks::Submit { tenant: "stores" }),
             ("submit for nothing", Asks::Submit { tenant: "nothing" }),
             ("drain", Asks::Drain),
-            ("see a task of orders", Asks::See { tenant: "orders" }),
+            ("see a task of orders", Asks::See { tenant: t.find("orders", 0) }),
         ];
         for (words, asks) in asks {
-            let r = rule(&t, State::Fresh, &terms, login, asks);
+            let r = rule(&t, 0, State::Fresh, &terms, login, asks);
             table +=
                 &format!("{login:7} {words:21} {:4} {}\n", if r.may { "yes" } else { "no" }, r.why.words());
         }
@@ -161,16 +166,19 @@
     for place in [true, false] {
         let terms = Terms { place_stale: place, place_blind: place, ..Terms::default() };
         for state in [State::Stale, State::Recovering] {
-            let r = rule(&t, state, &terms, "asha", submit);
+            let r = rule(&t, 0, state, &terms, "asha", submit);
             assert_eq!((r.may, r.stale), (place, true), "{state:?}");
-            assert!(rule(&t, state, &terms, "asha", Asks::See { tenant: "orders" }).may, "looking goes on");
+            assert!(
+                rule(&t, 0, state, &terms, "asha", Asks::See { tenant: t.find("orders", 0) }).may,
+                "looking goes on"
+            );
         }
-        let r = rule(&Tenants::default(), State::Blind, &terms, "asha", submit);
+        let r = rule(&Tenants::default(), 0, State::Blind, &terms, "asha", submit);
         assert_eq!((r.may, r.stale), (place, true));
-        assert_eq!(rule(&t, State::Blind, &terms, "asha", Asks::Drain).why, Why::NothingKnown);
+        assert_eq!(rule(&t, 0, State::Blind, &terms, "asha", Asks::Drain).why, Why::NothingKnown);
         let terms = Terms { always: vec!["watch".into()], ..terms };
-        assert_eq!(rule(&t, State::Blind, &terms, "watch", Asks::Drain).why, Why::Always);
-        assert_eq!(rule(&t, State::Blind, &terms, "watch", submit).may, place);
+        assert_eq!(rule(&t, 0, State::Blind, &terms, "watch", Asks::Drain).why, Why::Always);
+        assert_eq!(rule(&t, 0, State::Blind, &terms, "watch", submit).may, place);
     }
 }
 
--- a/tenants/tests/outage.rs
+++ b/tenants/tests/outage.rs
@@ -8,6 +8,10 @@
 
 const S: i64 = 1_000_000;
 
+fn names(n: usize) -> Vec<String> {
+    (0..n).map(|i| format!("server {i}")).collect()
+}
+
 fn entry(id: u128, what: What, name: &str, members: &[&str], stamp: &str) -> Entry {
     let members = members.iter().map(|m| format!("cn={m}")).collect();
     Entry { id: Id(id), what, name: name.into(), dn: format!("cn={name}"), members, stamp: stamp.into() }
@@ -57,7 +61,7 @@
         let r = k.rule(now, &terms, login, Asks::Submit { tenant });
         (r.may, r.stale)
     };
-    let mut k = Keeper::new(1, 0, 2, None, PACE, CAUTION).unwrap();
+    let mut k = Keeper::new(1, 0, &names(2), None, PACE, CAUTION).unwrap();
     assert_eq!((k.news(0), submit(&k, 0, "asha", "orders")), (Some(State::Blind), (false, true)));
     assert_eq!(pass(&mut k, 0, 60 * S, || full(before())).len(), 2, "two tenants came, once");
     assert_eq!((k.news(60 * S), k.news(60 * S)), (Some(State::Fresh), None), "said once");
@@ -70,7 +74,8 @@
     assert_eq!(submit(&k, 300 * S, "asha", "orders"), (true, true));
 
     // Restarted in the midst: it serves on from what it remembers, under the same indices.
-    let mut k = Keeper::new(2, 301 * S, 2, Some((remembered.0, &remembered.1)), PACE, CAUTION).unwrap();
+    let mut k =
+        Keeper::new(2, 301 * S, &names(2), Some((remembered.0, &remembered.1)), PACE, CAUTION).unwrap();
     assert_eq!((k.news(301 * S), k.tenants().index(Id(11))), (Some(State::Stale), index));
     assert_eq!(pass(&mut k, 301 * S, 600 * S, || None), []);
     assert_eq!(submit(&k, 600 * S, "ravi", "stores"), (true, true));
@@ -99,7 +104,7 @@
 
 #[test]
 fn what_is_no_memory_is_named() {
-    let said = Keeper::new(1, 0, 1, Some((0, b"a letter")), PACE, CAUTION).err().unwrap();
+    let said = Keeper::new(1, 0, &names(1), Some((0, b"a letter")), PACE, CAUTION).err().unwrap();
     assert!(
         said.starts_with("remembered tenants: found") && said.ends_with("expected entries of format 2"),
         "{said}"
