Three ways to read a directory, tried beside each other, and over TLS

Need: reading everything each time costs as much as the directory is large, and TLS and content synchronisation were written but not tried.

Change: the stand-in directory answers filters, content synchronisation (RFC 4533), TLS and StartTLS; it can lose cookies, name what is present, and lag.

--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -22,6 +22,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Ids that are asked for in one search.
 const IDS_AT_ONCE: usize = 100;
@@ -91,6 +92,8 @@
     source: &'a Source,
     ldap: Ldap,
     url: String,
+    /// The connection is gone.
+    ended: watch::Receiver<bool>,
 }
 
 /// Sweeps one server. Pages that came before a break are handed over as an incomplete sweep. `answered` is called once the
@@ -114,10 +117,12 @@
     let opened = tokio::time::timeout(source.patience, LdapConnAsync::with_settings(settings, &url)).await;
     let opened = opened.map_err(|_| connect("nothing came in time".into()))?;
     let (conn, mut ldap) = opened.map_err(|e| connect(e.to_string()))?;
+    let (ends, ended) = watch::channel(false);
     let driven = tokio::task::spawn_local(async move {
         if let Err(e) = conn.drive().await {
             tracing::debug!(error = %e, "the directory's connection ended");
         }
+        let _ = ends.send(true);
     });
     let _ends = Ends(driven);
     let bound = ldap.with_timeout(source.patience).simple_bind(&source.bind_dn, secret.trim_end()).await;
@@ -125,7 +130,7 @@
     if bound.rc != 0 {
         return Err(Fault::Bind { url, dn: source.bind_dn.clone(), rc: bound.rc, text: bound.text });
     }
-    let mut talk = Talk { source, ldap, url };
+    let mut talk = Talk { source, ldap, url, ended };
     let mark = talk.mark().await;
     answered();
     let mut swept = if source.sync {
@@ -147,6 +152,21 @@
     Ok(swept)
 }
 
+/// What comes next, unless the patience or the connection ends first. What came before the connection ended goes first.
+async fn within<T>(
+    patience: Duration,
+    ended: &mut watch::Receiver<bool>,
+    next: impl std::future::Future<Output = T>,
+) -> Result<T, String> {
+    tokio::select! {
+        biased;
+        next = tokio::time::timeout(patience, next) => {
+            next.map_err(|_| format!("nothing came for {} ms", patience.as_millis()))
+        }
+        _ = ended.wait_for(|over| *over) => Err("the connection ended".into()),
+    }
+}
+
 /// Ends the connection's task whatever way the sweep ends.
 struct Ends(tokio::task::JoinHandle<()>);
 
@@ -219,8 +239,8 @@
             Err(e) => return vec![e.to_string()],
         };
         loop {
-            match tokio::time::timeout(source.patience, stream.next()).await {
-                Err(_) => lacks.push(format!("nothing came for {} ms", source.patience.as_millis())),
+            match within(source.patience, &mut self.ended, stream.next()).await {
+                Err(why) => lacks.push(why),
                 Ok(Err(e)) => lacks.push(e.to_string()),
                 Ok(Ok(Some(entry))) => {
                     if let Err(what) = raw(entry).and_then(&mut each) {
@@ -328,8 +348,8 @@
         };
         let mut gone = BTreeSet::new();
         loop {
-            match tokio::time::timeout(patience, stream.next()).await {
-                Err(_) => swept.lacks(format!("nothing came for {} ms", patience.as_millis())),
+            match within(patience, &mut self.ended, stream.next()).await {
+                Err(why) => swept.lacks(why),
                 Ok(Err(e)) => swept.lacks(e.to_string()),
                 Ok(Ok(Some(entry))) => {
                     if let Err(what) = synced(names, entry, &mut swept, &mut gone) {
--- a/standins/src/directory.rs
+++ b/standins/src/directory.rs
@@ -1,16 +1,21 @@
-//! A stand-in LDAP directory on loopback, with faults on command. It serves what is laid into it, in pages.
+//! A stand-in LDAP directory on loopback, with faults on command. It serves what is laid into it: in pages, and by content
+//! synchronisation; in the clear, over TLS, or after StartTLS.
 use futures_util::{SinkExt, StreamExt};
 use ldap3_proto::control::LdapControl;
 use ldap3_proto::proto::{
-    LdapBindCred, LdapBindResponse, LdapMsg, LdapOp, LdapPartialAttribute, LdapResult, LdapResultCode,
-    LdapSearchResultEntry,
+    LdapBindCred, LdapBindResponse, LdapExtendedResponse, LdapFilter, LdapIntermediateResponse, LdapMsg,
+    LdapOp, LdapPartialAttribute, LdapResult, LdapResultCode, LdapSearchRequest, LdapSearchResultEntry,
+    LdapSearchScope, SyncStateValue,
 };
 use ldap3_proto::LdapCodec;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::TcpListener;
+use tokio_rustls::TlsAcceptor;
 use tokio_util::codec::Framed;
+use uuid::Uuid;
 
 /// An entry: its distinguished name, and attributes with their values.
 pub type Laid = (String, Vec<(String, Vec<Vec<u8>>)>);
@@ -30,6 +35,10 @@
     SizeLimit(usize),
     /// A pause before each page, in milliseconds.
     Slow(u64),
+    /// A synchronisation names all that is there, not what went.
+    NamesPresent,
+    /// A cookie is not known any more.
+    ForgetsCookies,
 }
 
 #[derive(Default)]
@@ -39,10 +48,27 @@
     pub trouble: Cell<Trouble>,
     pub password: RefCell<String>,
     pub searches: Cell<u32>,
+    /// Entries that were sent with attributes beyond their id and stamp.
+    pub sent: Cell<u32>,
+    /// What each cookie stands for.
+    states: RefCell<Vec<Vec<Laid>>>,
+}
+
+/// How connections are protected.
+#[derive(Clone, Default)]
+pub enum Shield {
+    #[default]
+    Clear,
+    Tls(TlsAcceptor),
+    StartTls(TlsAcceptor),
 }
 
 /// Starts a directory on a loopback port of its own.
 pub async fn start(password: &str) -> std::io::Result<Rc<Directory>> {
+    start_with(password, Shield::Clear).await
+}
+
+pub async fn start_with(password: &str, shield: Shield) -> std::io::Result<Rc<Directory>> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?.to_string();
     let me =
@@ -50,78 +76,199 @@
     let there = me.clone();
     tokio::task::spawn_local(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            if there.trouble.get() != Trouble::Refuses {
-                tokio::task::spawn_local(serve(there.clone(), stream));
+            let _ = stream.set_nodelay(true);
+            if there.trouble.get() == Trouble::Refuses {
+                continue;
             }
+            let (there, shield) = (there.clone(), shield.clone());
+            tokio::task::spawn_local(async move {
+                match &shield {
+                    Shield::Tls(tls) => {
+                        if let Ok(stream) = tls.accept(stream).await {
+                            serve(there, Box::new(stream), None).await;
+                        }
+                    }
+                    Shield::StartTls(tls) => serve(there, Box::new(stream), Some(tls.clone())).await,
+                    Shield::Clear => serve(there, Box::new(stream), None).await,
+                }
+            });
         }
     });
     Ok(me)
 }
 
+trait Stream: AsyncRead + AsyncWrite + Unpin {}
+impl<T: AsyncRead + AsyncWrite + Unpin> Stream for T {}
+type Wire = Framed<Box<dyn Stream>, LdapCodec>;
+
 fn result(code: LdapResultCode) -> LdapResult {
     LdapResult { code, matcheddn: String::new(), message: String::new(), referral: Vec::new() }
 }
 
-async fn serve(me: Rc<Directory>, stream: TcpStream) {
-    let mut wire = Framed::new(stream, LdapCodec::default());
-    while let Some(Ok(msg)) = wire.next().await {
-        let answer = |op, ctrl| LdapMsg { msgid: msg.msgid, op, ctrl };
-        match msg.op {
+fn values<'a>(entry: &'a Laid, attribute: &str) -> &'a [Vec<u8>] {
+    entry.1.iter().find(|a| a.0.eq_ignore_ascii_case(attribute)).map_or(&[], |a| &a.1)
+}
+
+fn matches(filter: &LdapFilter, entry: &Laid) -> bool {
+    match filter {
+        LdapFilter::And(all) => all.iter().all(|f| matches(f, entry)),
+        LdapFilter::Or(any) => any.iter().any(|f| matches(f, entry)),
+        LdapFilter::Not(f) => !matches(f, entry),
+        LdapFilter::Equality(a, v) => values(entry, a).iter().any(|x| x.eq_ignore_ascii_case(v.as_bytes())),
+        LdapFilter::Present(a) => !values(entry, a).is_empty(),
+        _ => false,
+    }
+}
+
+/// An entry's id; entries without one are not synchronised.
+fn id(entry: &Laid) -> Option<Uuid> {
+    Uuid::parse_str(std::str::from_utf8(values(entry, "entryUUID").first()?).ok()?).ok()
+}
+
+/// A search's message number, and where its answers go.
+struct Answers<'a> {
+    me: &'a Directory,
+    wire: &'a mut Wire,
+    msgid: i32,
+    attributes: Vec<String>,
+}
+
+impl Answers<'_> {
+    async fn say(&mut self, op: LdapOp, ctrl: Vec<LdapControl>) -> Option<()> {
+        self.wire.send(LdapMsg { msgid: self.msgid, op, ctrl }).await.ok()
+    }
+
+    async fn done(&mut self, code: LdapResultCode, ctrl: Vec<LdapControl>) -> Option<()> {
+        self.say(LdapOp::SearchResultDone(result(code)), ctrl).await
+    }
+
+    async fn entry(&mut self, (dn, attributes): Laid, ctrl: Vec<LdapControl>) -> Option<()> {
+        let asked =
+            |a: &str| self.attributes.is_empty() || self.attributes.iter().any(|x| x.eq_ignore_ascii_case(a));
+        let attributes = attributes.into_iter().filter(|a| asked(&a.0));
+        let attributes: Vec<_> =
+            attributes.map(|(atype, vals)| LdapPartialAttribute { atype, vals }).collect();
+        self.me.sent.set(self.me.sent.get() + u32::from(self.attributes.len() > 2));
+        self.say(LdapOp::SearchResultEntry(LdapSearchResultEntry { dn, attributes }), ctrl).await
+    }
+
+    /// What changed since a cookie, or everything.
+    async fn synchronise(&mut self, found: Vec<Laid>, cookie: Option<Vec<u8>>) -> Option<()> {
+        let known: Option<usize> = cookie.and_then(|c| String::from_utf8(c).ok()?.parse().ok());
+        let states = self.me.states.borrow();
+        let before = known.and_then(|n| states.get(n)).cloned();
+        drop(states);
+        if known.is_some() && (before.is_none() || self.me.trouble.get() == Trouble::ForgetsCookies) {
+            return self.done(LdapResultCode::EsyncRefreshRequired, Vec::new()).await;
+        }
+        let names_present = before.is_none() || self.me.trouble.get() == Trouble::NamesPresent;
+        let old = before.unwrap_or_default();
+        let ids = |of: &[Laid]| of.iter().filter_map(id).collect::<Vec<_>>();
+        let (now, then) = (ids(&found), ids(&old));
+        let syncuuids: Vec<Uuid> = if names_present {
+            found.iter().filter(|e| old.contains(e)).filter_map(id).collect()
+        } else {
+            then.iter().filter(|id| !now.contains(id)).copied().collect()
+        };
+        let set = LdapIntermediateResponse::SyncInfoIdSet {
+            cookie: None,
+            refresh_deletes: !names_present,
+            syncuuids,
+        };
+        self.say(LdapOp::IntermediateResponse(set), Vec::new()).await?;
+        for (n, entry) in found.iter().filter(|e| !old.contains(e)).enumerate() {
+            if matches!(self.me.trouble.get(), Trouble::CutsAfter(most) if n >= most) {
+                return None;
+            }
+            let Some(entry_uuid) = id(entry) else { continue };
+            let state = if then.contains(&entry_uuid) { SyncStateValue::Modify } else { SyncStateValue::Add };
+            let state = LdapControl::SyncState { state, entry_uuid, cookie: None };
+            self.entry(entry.clone(), vec![state]).await?;
+        }
+        let cookie = self.me.states.borrow().len().to_string().into_bytes();
+        self.me.states.borrow_mut().push(found);
+        let done = LdapControl::SyncDone { cookie: Some(cookie), refresh_deletes: !names_present };
+        self.done(LdapResultCode::Success, vec![done]).await
+    }
+
+    async fn search(&mut self, search: LdapSearchRequest, ctrl: Vec<LdapControl>) -> Option<()> {
+        let me = self.me;
+        me.searches.set(me.searches.get() + 1);
+        match me.trouble.get() {
+            Trouble::Stalls => return Some(()),
+            Trouble::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            _ => {}
+        }
+        let there = me.entries.borrow().clone();
+        let (filter, base) = (&search.filter, &search.base);
+        let of_base = search.scope == LdapSearchScope::Base;
+        let found: Vec<Laid> = there
+            .into_iter()
+            .filter(|e| matches(filter, e) && if of_base { e.0 == *base } else { e.0.ends_with(base) })
+            .collect();
+        let (mut size, mut from) = (usize::MAX, 0);
+        for c in ctrl {
+            match c {
+                LdapControl::SimplePagedResults { size: s, cookie } => {
+                    size = s as usize;
+                    from = String::from_utf8_lossy(&cookie).parse().unwrap_or(0);
+                }
+                LdapControl::SyncRequest { cookie, .. } => return self.synchronise(found, cookie).await,
+                _ => {}
+            }
+        }
+        let page: Vec<Laid> = found.iter().skip(from).take(size).cloned().collect();
+        let next = from + page.len();
+        for (n, entry) in page.into_iter().enumerate() {
+            match me.trouble.get() {
+                Trouble::CutsAfter(most) if from + n >= most => return None,
+                Trouble::SizeLimit(most) if from + n >= most => {
+                    return self.done(LdapResultCode::SizeLimitExceeded, Vec::new()).await
+                }
+                _ => {}
+            }
+            self.entry(entry, Vec::new()).await?;
+        }
+        let cookie = if next < found.len() { next.to_string().into_bytes() } else { Vec::new() };
+        self.done(LdapResultCode::Success, vec![LdapControl::SimplePagedResults { size: 0, cookie }]).await
+    }
+}
+
+async fn serve(me: Rc<Directory>, stream: Box<dyn Stream>, mut starttls: Option<TlsAcceptor>) {
+    let mut wire: Wire = Framed::new(stream, LdapCodec::default());
+    while let Some(Ok(LdapMsg { msgid, op, ctrl })) = wire.next().await {
+        let mut answers = Answers { me: &me, wire: &mut wire, msgid, attributes: Vec::new() };
+        let said = match op {
             LdapOp::BindRequest(bind) => {
                 let right = matches!(bind.cred, LdapBindCred::Simple(p) if p == *me.password.borrow());
-                let code = if right { LdapResultCode::Success } else { LdapResultCode::InvalidCredentials };
+                let code = match (right, &starttls) {
+                    (_, Some(_)) => LdapResultCode::ConfidentialityRequired,
+                    (true, None) => LdapResultCode::Success,
+                    (false, None) => LdapResultCode::InvalidCredentials,
+                };
                 let response = LdapBindResponse { res: result(code), saslcreds: None };
-                if wire.send(answer(LdapOp::BindResponse(response), Vec::new())).await.is_err() {
-                    return;
-                }
+                answers.say(LdapOp::BindResponse(response), Vec::new()).await
             }
-            LdapOp::SearchRequest(_) => {
-                me.searches.set(me.searches.get() + 1);
-                let paged = msg.ctrl.iter().find_map(|c| match c {
-                    LdapControl::SimplePagedResults { size, cookie } => {
-                        Some((*size as usize, cookie.clone()))
-                    }
-                    _ => None,
-                });
-                let (size, cookie) = paged.unwrap_or((usize::MAX, Vec::new()));
-                let from: usize = String::from_utf8_lossy(&cookie).parse().unwrap_or(0);
-                match me.trouble.get() {
-                    Trouble::Stalls => continue,
-                    Trouble::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
-                    _ => {}
-                }
-                let page: Vec<Laid> = me.entries.borrow().iter().skip(from).take(size).cloned().collect();
-                let next = from + page.len();
-                for (n, (dn, attributes)) in page.into_iter().enumerate() {
-                    match me.trouble.get() {
-                        Trouble::CutsAfter(most) if from + n >= most => return,
-                        Trouble::SizeLimit(most) if from + n >= most => {
-                            let done = LdapOp::SearchResultDone(result(LdapResultCode::SizeLimitExceeded));
-                            let _ = wire.send(answer(done, Vec::new())).await;
-                            break;
-                        }
-                        _ => {}
-                    }
-                    let attributes =
-                        attributes.into_iter().map(|(atype, vals)| LdapPartialAttribute { atype, vals });
-                    let entry = LdapSearchResultEntry { dn, attributes: attributes.collect() };
-                    if wire.send(answer(LdapOp::SearchResultEntry(entry), Vec::new())).await.is_err() {
-                        return;
-                    }
-                }
-                if matches!(me.trouble.get(), Trouble::SizeLimit(most) if next > most) {
-                    continue;
-                }
-                let more = next < me.entries.borrow().len();
-                let cookie = if more { next.to_string().into_bytes() } else { Vec::new() };
-                let ctrl = vec![LdapControl::SimplePagedResults { size: 0, cookie }];
-                let done = LdapOp::SearchResultDone(result(LdapResultCode::Success));
-                if wire.send(answer(done, ctrl)).await.is_err() {
+            LdapOp::ExtendedRequest(_) if starttls.is_some() => {
+                let res = result(LdapResultCode::Success);
+                let response = LdapExtendedResponse { res, name: None, value: None };
+                if answers.say(LdapOp::ExtendedResponse(response), Vec::new()).await.is_none() {
                     return;
                 }
+                let Some(tls) = starttls.take() else { return };
+                let Ok(stream) = tls.accept(wire.into_inner()).await else { return };
+                wire = Framed::new(Box::new(stream), LdapCodec::default());
+                Some(())
             }
-            LdapOp::UnbindRequest => return,
-            _ => {}
+            LdapOp::SearchRequest(search) => {
+                answers.attributes.clone_from(&search.attrs);
+                answers.search(search, ctrl).await
+            }
+            LdapOp::UnbindRequest => None,
+            _ => Some(()),
+        };
+        if said.is_none() {
+            return;
         }
     }
 }
