--- a/cli/src/drill.rs
+++ b/cli/src/drill.rs
@@ -30,7 +30,7 @@
         } else {
             print!("{}", table(&verdict));
         }
-        let held = verdict.breaches.is_empty();
+        let held = verdict.breaches.is_empty() && verdict.tenant_faults.is_empty();
         if held {
             Ok(())
         } else {
@@ -78,6 +78,15 @@
         let word = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
         text += &format!("rule {} {rule:26}{word}\n", i + 1);
     }
+    if v.stale_answers + v.newcomers > 0 || !v.tenant_faults.is_empty() {
+        text += &format!(
+            "tenants: {} answers said that they rest on old knowledge, {} to a newcomer once known, {} wrong\n",
+            v.stale_answers,
+            v.newcomers,
+            v.tenant_faults.len()
+        );
+        v.tenant_faults.iter().for_each(|f| text += &format!("  {f}\n"));
+    }
     for b in v.breaches.iter().take(20) {
         text += &format!("\nrule {} at {} us, {}, {}: {}", b.rule, b.at, b.planner, b.about, b.what);
     }
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -94,15 +94,16 @@
     url: String,
     /// The connection is gone.
     ended: watch::Receiver<bool>,
+    answered: Option<Box<dyn FnOnce()>>,
 }
 
-/// Sweeps one server. Pages that came before a break are handed over as an incomplete sweep. `answered` is called once the
-/// server has answered the first search.
+/// Sweeps one server. Pages that came before a break are handed over as an incomplete sweep. `answered` is called once something
+/// came.
 pub async fn sweep(
     source: &Source,
     server: usize,
     before: Before,
-    answered: impl FnOnce(),
+    answered: impl FnOnce() + 'static,
 ) -> Result<Swept, Fault> {
     let url = source.urls[server].clone();
     let file = |path: &PathBuf, what: String| Fault::File { file: path.display().to_string(), what };
@@ -130,9 +131,8 @@
     if bound.rc != 0 {
         return Err(Fault::Bind { url, dn: source.bind_dn.clone(), rc: bound.rc, text: bound.text });
     }
-    let mut talk = Talk { source, ldap, url, ended };
+    let mut talk = Talk { source, ldap, url, ended, answered: Some(Box::new(answered)) };
     let mark = talk.mark().await;
-    answered();
     let mut swept = if source.sync {
         talk.synchronised(before.cookie).await
     } else if before.seen.is_empty() {
@@ -243,6 +243,7 @@
                 Err(why) => lacks.push(why),
                 Ok(Err(e)) => lacks.push(e.to_string()),
                 Ok(Ok(Some(entry))) => {
+                    self.answered.take().into_iter().for_each(|said| said());
                     if let Err(what) = raw(entry).and_then(&mut each) {
                         lacks.push(what);
                     }
@@ -352,6 +353,7 @@
                 Err(why) => swept.lacks(why),
                 Ok(Err(e)) => swept.lacks(e.to_string()),
                 Ok(Ok(Some(entry))) => {
+                    self.answered.take().into_iter().for_each(|said| said());
                     if let Err(what) = synced(names, entry, &mut swept, &mut gone) {
                         swept.lacks(what);
                     }
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -85,8 +85,9 @@
         let (source, news, number, server) =
             (self.directory.source.clone(), self.news.clone(), task.number, task.server);
         let running = tokio::task::spawn_local(async move {
-            let answered = || {
-                let _ = news.try_send(Heard::Answered(number));
+            let first = news.clone();
+            let answered = move || {
+                let _ = first.try_send(Heard::Answered(number));
             };
             let swept = basaltpitch_directory::sweep(&source, server, before, answered).await;
             let _ = news.send(Heard::Ended(number, swept)).await;
--- a/planner/src/tenancy.rs
+++ b/planner/src/tenancy.rs
@@ -40,7 +40,8 @@
     /// The sweep that is under way.
     under: Option<Task>,
     sweeps: u64,
-    lacks: Vec<String>,
+    /// Of each server, why its last sweep brought less than all.
+    lacks: Vec<Vec<String>>,
     said_held: bool,
     /// How often anything had changed when the last memory was asked for.
     remembered: Option<u64>,
@@ -58,16 +59,9 @@
 impl Learnt {
     /// `remembered`: what an earlier life kept, and when that was heard in full.
     pub fn new(seed: u64, now: i64, ways: Ways, remembered: Option<(i64, &[u8])>) -> Result<Self, String> {
+        let lacks = vec![Vec::new(); ways.servers.len()];
         let keeper = Keeper::new(seed, now, &ways.servers, remembered, ways.pace, ways.caution)?;
-        Ok(Learnt {
-            ways,
-            keeper,
-            under: None,
-            sweeps: 0,
-            lacks: Vec::new(),
-            said_held: false,
-            remembered: None,
-        })
+        Ok(Learnt { ways, keeper, under: None, sweeps: 0, lacks, said_held: false, remembered: None })
     }
 
     pub fn next_at(&self) -> i64 {
@@ -102,11 +96,14 @@
         lacks: Vec<String>,
     ) -> Option<Vec<Change>> {
         let task = self.under.take_if(|u| u.number == number)?;
-        if !lacks.is_empty() && lacks != self.lacks {
-            let (server, why) = (&self.ways.servers[task.server], lacks.join("; "));
-            tracing::warn!(server, why, "the directory gave less than all");
+        let server = &self.ways.servers[task.server];
+        match (std::mem::replace(&mut self.lacks[task.server], lacks), &self.lacks[task.server]) {
+            (before, now) if before == *now => {}
+            (_, now) if now.is_empty() => tracing::info!(server, "a server of the directory gives all again"),
+            (_, now) => {
+                tracing::warn!(server, why = now.join("; "), "a server of the directory gives less than all")
+            }
         }
-        self.lacks = lacks;
         Some(self.keeper.swept(now, sweep))
     }
 
@@ -239,6 +236,12 @@
         }
     }
 
+    /// Each server, and what its last sweep lacked.
+    fn servers(&self) -> Vec<Value> {
+        let row = |(s, lacks): (&String, &Vec<String>)| json!({"server": s, "lacks": lacks});
+        self.ways.servers.iter().zip(&self.lacks).map(row).collect()
+    }
+
     fn state(&self, now: i64) -> Value {
         let known = self.keeper.tenants();
         let count = |is: fn(&What) -> bool| known.ids().filter(|x| is(&x.1.what)).count();
@@ -261,9 +264,9 @@
         json!({
             "state": state, "heard_in_full_ms_ago": self.keeper.full_at().map(|at| (now - at) / 1000),
             "places": places, "sweeps": self.sweeps,
-            "server": self.under.as_ref().map(|u| &self.ways.servers[u.server]),
+            "sweeps_now": self.under.as_ref().map(|u| &self.ways.servers[u.server]),
             "next_ms": (self.keeper.next_at() - now).max(0) / 1000,
-            "lacks": self.lacks, "held": held, "server_set_back": self.keeper.is_behind(),
+            "servers": self.servers(), "held": held, "server_set_back": self.keeper.is_behind(),
             "tenants": count(|w| matches!(w, What::Tenant { .. })),
             "groups": count(|w| *w == What::Group), "people": count(|w| *w == What::Person),
         })
--- a/records/src/installation.rs
+++ b/records/src/installation.rs
@@ -81,7 +81,11 @@
     let travel = all.time("launches.connect").unwrap_or(0);
     let kinds: Vec<&str> = all.list("kinds").iter().filter_map(|k| k.text("name")).collect();
     let known = |list: &str| -> Vec<String> {
-        all.list(list).iter().filter_map(|x| x.text("name").or(plain_text(x)).map(str::to_owned)).collect()
+        let of_day = list == "tenants" && all.get("day.directory").is_some();
+        all.list(if of_day { "day.directory.tenants" } else { list })
+            .iter()
+            .filter_map(|x| x.text("name").or(plain_text(x)).map(str::to_owned))
+            .collect()
     };
     for f in all.list("frameworks") {
         let place = |field: &str| f.get(field).map_or(f.at, |x| x.at);
--- a/records/src/unify.rs
+++ b/records/src/unify.rs
@@ -386,18 +386,8 @@
             let mut fields = IndexMap::new();
             for (name, slot) in slots {
                 let here = if path.is_empty() { name.clone() } else { format!("{path}.{name}") };
-                let open = !matches!(slot.node.value, Value::Atom(_) | Value::Record(..) | Value::List(..));
-                if slot.optional && open {
-                    continue;
-                }
-                if slot.optional && matches!(slot.node.value, Value::Record(..) | Value::List(..)) {
-                    // Optional and never touched: what is missing in it is no fault.
-                    let mut none = Vec::new();
-                    if let (Some(settled), true) =
-                        (close(&slot.node, &here, node.at, &mut none), none.is_empty())
-                    {
-                        fields.insert(name.clone(), settled);
-                    }
+                // Optional and never given: it is not there, whatever defaults its type has.
+                if slot.optional {
                     continue;
                 }
                 if let Some(settled) = close(&slot.node, &here, node.at, faults) {
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -232,7 +232,12 @@
                     tokio::time::sleep(last / 5).await;
                 }
             }
-            _ => {}
+            what => {
+                let feast = self.world.feast.borrow().clone();
+                if let Some(feast) = feast {
+                    feast.play(what, last, &self.world).await;
+                }
+            }
         }
         tracing::info!(trouble = t.what, "its cause is over");
     }
--- a/standins/src/directory.rs
+++ b/standins/src/directory.rs
@@ -155,9 +155,7 @@
     /// What changed since a cookie, or everything.
     async fn synchronise(&mut self, found: Vec<Laid>, cookie: Option<Vec<u8>>) -> Option<()> {
         let known: Option<usize> = cookie.and_then(|c| String::from_utf8(c).ok()?.parse().ok());
-        let states = self.me.states.borrow();
-        let before = known.and_then(|n| states.get(n)).cloned();
-        drop(states);
+        let before = known.and_then(|n| self.me.states.borrow().get(n).cloned());
         if known.is_some() && (before.is_none() || self.me.trouble.get() == Trouble::ForgetsCookies) {
             return self.done(LdapResultCode::EsyncRefreshRequired, Vec::new()).await;
         }
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -1,6 +1,7 @@
 //! A drill: planners as processes of their own, stand-ins for all else in this one, a scripted day of trouble, and a
 //! verdict by the traffic on the sockets.
 use crate::day::{self, Load, Planners, Stage};
+use crate::feast::{Feast, NEWCOMER};
 use crate::machine::{self, Manners, World};
 use crate::owner::{self, Front, Seens, Wish};
 use crate::register::{self, Lateness};
@@ -54,6 +55,11 @@
     pub placed_ms: Percentiles,
     pub traffic: Tally,
     pub breaches: Vec<Breach>,
+    /// Of a day with a directory: answers that rested on old knowledge, answers to a newcomer that were not "not
+    /// allowed", and what was wrong.
+    pub stale_answers: u64,
+    pub newcomers: u64,
+    pub tenant_faults: Vec<String>,
 }
 
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -83,6 +89,8 @@
     front: Front,
     all: Vec<Process>,
     lives: Cell<u32>,
+    /// Of a day with a directory: what planners read beside the files, and where they keep what outlives them.
+    more: Option<(PathBuf, PathBuf)>,
 }
 
 impl Processes {
@@ -93,6 +101,9 @@
         let number = p.to_string();
         command.args(["--name", &name, "--number", &number, "--zone", &self.zone(p)]);
         command.args(["--register", &self.register, "--listen", "127.0.0.1:0", "-o", "json"]);
+        if let Some((settings, state)) = &self.more {
+            command.arg(settings).arg("--state").arg(state);
+        }
         if let Some(folder) = &self.how.record {
             self.lives.set(self.lives.get() + 1);
             command.arg("--record").arg(folder.join(format!("{name}-{}.recording", self.lives.get())));
@@ -206,6 +217,7 @@
         manners: manners(all, all.get("day").unwrap_or(all)),
         standing: RefCell::new(HashMap::new()),
         uses: RefCell::new(day::uses(installation, load)),
+        feast: RefCell::new(None),
     })
 }
 
@@ -238,6 +250,16 @@
     };
     let register = register::start(world.clone(), fleet.clone(), late).await?;
     let planners = all.number("planners").unwrap_or(1.0) as usize;
+    let owners = day.number("owners").unwrap_or(1.0) as u64;
+    let feast = Feast::start(&day, owners, world.clock.now()).await?;
+    let folder = std::env::temp_dir().join(format!("basaltpitch-drill-{}", std::process::id()));
+    let mut more = None;
+    if let Some(feast) = &feast {
+        std::fs::create_dir_all(&folder)?;
+        more = Some((feast.file(&day, &folder)?, folder.join("state")));
+        *world.feast.borrow_mut() = Some(feast.clone());
+    }
+    let _gone = Gone(folder);
     let front: Front = Rc::new(RefCell::new(vec![String::new(); planners]));
     let processes = Rc::new(Processes {
         register: register.address.clone(),
@@ -246,6 +268,7 @@
         front: front.clone(),
         all: (0..planners).map(|_| Process { child: RefCell::new(None), epoch: Cell::new(0) }).collect(),
         lives: Cell::new(0),
+        more,
         how: Rc::new(how),
     });
     for p in 0..planners {
@@ -254,17 +277,19 @@
     // The day begins once every planner has a link to every machine.
     let linked = |m: &Rc<machine::Machine>| m.conns.get() >= planners as u64;
     for _ in 0..200 {
-        if fleet.iter().all(linked) {
+        let heard = feast.as_ref().is_none_or(|f| f.servers[0].searches.get() >= planners as u32);
+        if heard && fleet.iter().all(linked) {
             break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
     let seens = Rc::new(RefCell::new(Seens::default()));
     let settle_us = all.time("rules.settle").unwrap_or(3_000_000);
-    let owners = day.number("owners").unwrap_or(1.0) as u64;
-    let owners: Vec<_> = (0..owners)
-        .map(|n| owner::start(world.clone(), front.clone(), seens.clone(), n, seed ^ n, settle_us))
-        .collect();
+    let own = |n: u64, login: &str| {
+        owner::start(world.clone(), login, front.clone(), seens.clone(), n, seed ^ n, settle_us)
+    };
+    let newcomer = feast.as_ref().map(|_| own(owners, NEWCOMER));
+    let owners: Vec<_> = (0..owners).map(|n| own(n, &format!("owner-{n}"))).collect();
     let stage = Rc::new(Stage {
         world: world.clone(),
         fleet: fleet.clone(),
@@ -276,7 +301,7 @@
     for (i, trouble) in day::troubles(&day).into_iter().enumerate() {
         tokio::task::spawn_local(stage.clone().play(trouble, seed.wrapping_mul(1000) + i as u64));
     }
-    let wanted = ask_all(&all, &day, &load, &owners, &mut chance).await;
+    let wanted = ask_all(&all, &day, &load, &owners, newcomer.as_ref(), &mut chance).await;
     tokio::time::sleep(Duration::from_micros(time("settle") as u64)).await;
     let now = world.clock.now();
     for p in 0..planners {
@@ -310,9 +335,21 @@
         placed_ms: Percentiles { p50: ms(0.5), p99: ms(0.99), p999: ms(0.999) },
         traffic,
         breaches,
+        stale_answers: feast.as_ref().map_or(0, |f| f.stale.get()),
+        newcomers: feast.as_ref().map_or(0, |f| f.newcomers.get()),
+        tenant_faults: feast.map_or(Vec::new(), |f| f.finish()),
     })
 }
 
+/// Takes a folder away at the end.
+struct Gone(PathBuf);
+
+impl Drop for Gone {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 fn size_of(all: &Settled, kind: &str) -> (f64, f64) {
     let sized = all.list("kinds").iter().find(|k| k.text("name") == Some(kind));
     sized.map_or((1.0, 1.0), |k| (k.number("cores").unwrap_or(1.0), k.number("memory").unwrap_or(1.0)))
@@ -372,6 +409,7 @@
     day: &Settled,
     load: &Load,
     owners: &[tokio::sync::mpsc::Sender<Wish>],
+    newcomer: Option<&tokio::sync::mpsc::Sender<Wish>>,
     chance: &mut StdRng,
 ) -> u64 {
     let number = |s: &Settled| match s.value {
@@ -414,8 +452,12 @@
             time_left_us: 0,
         };
         let tries = day.number("tries").unwrap_or(3.0) as u32;
-        let wish = Wish { submit, limit_us, repeatable, tries };
-        let _ = owners[chance.random_range(0..owners.len())].try_send(wish);
+        let tenant = submit.tenant.clone();
+        let wish = Wish { submit, tenant, limit_us, repeatable, tries };
+        let owner = &owners[chance.random_range(0..owners.len())];
+        // One task in twenty is the newcomer's.
+        let owner = newcomer.filter(|_| wanted % 20 == 0).unwrap_or(owner);
+        let _ = owner.try_send(wish);
     }
     wanted
 }
--- /dev/null
+++ b/standins/src/feast.rs
@@ -0,0 +1,259 @@
+//! The directory's part of a day: stand-in servers with tenants in them, what goes wrong there, and whether answers told
+//! the truth about it: no owner who was a member all along is turned away, and what rests on old knowledge says so.
+use crate::directory::{self, laid, Directory, Laid, Trouble};
+use crate::machine::World;
+use basaltpitch_agent::wire::Answer;
+use basaltpitch_records::Settled;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The login of one who becomes a member while the directory is away.
+pub const NEWCOMER: &str = "newcomer";
+/// Time from when the directory answers again until every planner must have heard all of it.
+const RECOVERS: i64 = 2_500_000;
+/// Time that an asking may take to a planner.
+const TRAVELS: i64 = 500_000;
+
+struct Tenant {
+    id: String,
+    name: String,
+    share: f64,
+    changed: u32,
+    members: Vec<String>,
+}
+
+/// The directory of a day, as everybody there knows it.
+pub struct Feast {
+    pub servers: Vec<Rc<Directory>>,
+    tenants: RefCell<Vec<Tenant>>,
+    people: RefCell<Vec<String>>,
+    changes: Cell<u32>,
+    /// What owners call a tenant now, where that is not its name in the day's file.
+    called: RefCell<HashMap<String, String>>,
+    fresh_us: i64,
+    every_us: i64,
+    /// Since when no server answers; 0: they do. Until when states may be either.
+    away_since: Cell<i64>,
+    unsure_until: Cell<i64>,
+    pub stale: Cell<u64>,
+    pub newcomers: Cell<u64>,
+    /// Somebody joined while the directory was away, for longer than what is known stays fresh.
+    joined: Cell<bool>,
+    faults: RefCell<Vec<String>>,
+}
+
+impl Feast {
+    pub async fn start(day: &Settled, owners: u64, now: i64) -> io::Result<Option<Rc<Feast>>> {
+        let Some(d) = day.get("directory") else { return Ok(None) };
+        let people: Vec<String> = (0..owners).map(|n| format!("owner-{n}")).collect();
+        let tenant = |(n, t): (usize, &Settled)| Tenant {
+            id: format!("{:032x}", n + 1),
+            name: t.text("name").unwrap_or("").to_owned(),
+            share: t.number("share").unwrap_or(0.0),
+            changed: 0,
+            members: people.clone(),
+        };
+        let tenants = d.list("tenants").iter().enumerate().map(tenant).collect();
+        let mut servers = Vec::new();
+        for _ in 0..d.number("servers").unwrap_or(1.0) as usize {
+            servers.push(directory::start("feast").await?);
+        }
+        let feast = Rc::new(Feast {
+            servers,
+            tenants: RefCell::new(tenants),
+            people: RefCell::new(people),
+            changes: Cell::new(0),
+            called: RefCell::default(),
+            fresh_us: d.time("fresh").unwrap_or(0),
+            every_us: d.time("every").unwrap_or(0),
+            away_since: Cell::new(0),
+            unsure_until: Cell::new(now + RECOVERS),
+            stale: Cell::new(0),
+            newcomers: Cell::new(0),
+            joined: Cell::new(false),
+            faults: RefCell::default(),
+        });
+        feast.lay(0);
+        Ok(Some(feast))
+    }
+
+    /// A file of settings for planners, with the secret beside it.
+    pub fn file(&self, day: &Settled, folder: &Path) -> io::Result<PathBuf> {
+        let secret = folder.join("directory.secret");
+        std::fs::write(&secret, "feast")?;
+        let urls: Vec<String> = self.servers.iter().map(|s| format!("\"ldap://{}\"", s.address)).collect();
+        let sync = day.mark("directory.sync").unwrap_or(false);
+        let text = format!(
+            "directory: {{\n\tservers: [{}]\n\tclear: true\n\tbind: \"cn=planner,dc=campus\"\n\
+             \tpassword_file: {:?}\n\tbase: \"dc=campus\"\n\tevery: {}us\n\tfresh: {}us\n\tsync: {sync}\n\
+             \tpatience: 300ms\n\twhole: 1s\n\tfirst_wait: 100ms\n\tmost_wait: 400ms\n\
+             \tcaution: {{few: 1, over: 60s}}\n}}\n",
+            urls.join(", "),
+            secret.display().to_string(),
+            self.every_us,
+            self.fresh_us,
+        );
+        let file = folder.join("directory.rec");
+        std::fs::write(&file, text)?;
+        Ok(file)
+    }
+
+    fn entries(&self) -> Vec<Laid> {
+        let stamp = |n: u32| format!("2026{n:010}Z");
+        let person = |login: &str| format!("uid={login},dc=campus");
+        let mut all = Vec::new();
+        for (n, login) in self.people.borrow().iter().enumerate() {
+            let (id, changed) = (format!("{:032x}", 0x1_0000 + n), stamp(0));
+            all.push(laid(
+                &person(login),
+                &[
+                    ("objectClass", &["inetOrgPerson"]),
+                    ("uid", &[login]),
+                    ("entryUUID", &[&id]),
+                    ("modifyTimestamp", &[&changed]),
+                ],
+            ));
+        }
+        for t in self.tenants.borrow().iter() {
+            let (share, changed) = (t.share.to_string(), stamp(t.changed));
+            let members: Vec<String> = t.members.iter().map(|m| person(m)).collect();
+            let members: Vec<&str> = members.iter().map(String::as_str).collect();
+            all.push(laid(
+                &format!("cn={},dc=campus", t.name),
+                &[
+                    ("objectClass", &["basaltpitchTenant"]),
+                    ("cn", &[&t.name]),
+                    ("entryUUID", &[&t.id]),
+                    ("modifyTimestamp", &[&changed]),
+                    ("member", &members),
+                    ("basaltpitchShare", &[&share]),
+                ],
+            ));
+        }
+        all
+    }
+
+    /// Lays what is there into all servers but the last `lagging`.
+    fn lay(&self, lagging: usize) {
+        let all = self.entries();
+        let most = self.servers.len().saturating_sub(lagging);
+        self.servers[..most].iter().for_each(|s| s.entries.borrow_mut().clone_from(&all));
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<Tenant>, u32)) {
+        self.changes.set(self.changes.get() + 1);
+        change(&mut self.tenants.borrow_mut(), self.changes.get());
+    }
+
+    /// What owners call a tenant of the day's file now.
+    pub fn called(&self, name: &str) -> String {
+        self.called.borrow().get(name).cloned().unwrap_or_else(|| name.to_owned())
+    }
+
+    fn troubled(&self, trouble: Trouble) {
+        self.servers.iter().for_each(|s| s.trouble.set(trouble));
+    }
+
+    /// Plays a trouble of the directory's.
+    pub async fn play(&self, what: &str, lasts: Duration, world: &World) {
+        let now = || world.clock.now();
+        match what {
+            "directory_away" => {
+                self.away_since.set(now());
+                self.troubled(Trouble::Refuses);
+                tokio::time::sleep(lasts / 2).await;
+                self.troubled(Trouble::Stalls);
+                // Someone joins all tenants while nobody can hear of it.
+                self.people.borrow_mut().push(NEWCOMER.into());
+                self.change(|tenants, n| {
+                    for t in tenants.iter_mut() {
+                        t.members.push(NEWCOMER.into());
+                        t.changed = n;
+                    }
+                });
+                self.lay(0);
+                tokio::time::sleep(lasts / 2).await;
+                self.troubled(Trouble::None);
+                self.unsure_until.set(now() + RECOVERS);
+                self.away_since.set(0);
+                self.joined.set(lasts.as_micros() as i64 > self.fresh_us + self.every_us + TRAVELS);
+            }
+            "directory_rename" => {
+                // The first is renamed and another takes its name, without members: owners say its id from now on. The
+                // second is renamed, and owners go on with its old name.
+                self.change(|tenants, n| {
+                    let old = tenants[0].name.clone();
+                    self.called.borrow_mut().insert(old.clone(), tenants[0].id.clone());
+                    for t in tenants.iter_mut().take(2) {
+                        t.name = format!("{} hall", t.name);
+                        t.changed = n;
+                    }
+                    let (id, members) = (format!("{:032x}", 0x1000), Vec::new());
+                    tenants.push(Tenant { id, name: old, share: 0.0, changed: n, members });
+                });
+                self.lay(0);
+            }
+            "directory_lags" => {
+                // The first server is away, and the last has not heard of a change.
+                self.unsure_until.set(i64::MAX);
+                self.change(|tenants, n| tenants.iter_mut().for_each(|t| t.changed = n));
+                self.lay(1);
+                tokio::time::sleep(Duration::from_micros(self.every_us as u64 * 2)).await;
+                self.servers[0].trouble.set(Trouble::Refuses);
+                tokio::time::sleep(lasts).await;
+                self.servers[0].trouble.set(Trouble::None);
+                self.lay(0);
+                self.unsure_until.set(now() + RECOVERS);
+            }
+            "directory_lacks" => {
+                let few: Vec<Laid> = self.entries().into_iter().filter(|e| e.0.starts_with("uid=")).collect();
+                self.servers.iter().for_each(|s| s.entries.borrow_mut().clone_from(&few));
+                tokio::time::sleep(lasts).await;
+                self.lay(0);
+            }
+            _ => {}
+        }
+    }
+
+    /// All that was wrong.
+    pub fn finish(&self) -> Vec<String> {
+        let mut faults = self.faults.take();
+        if self.joined.get() && self.newcomers.get() == 0 {
+            faults.push("nobody who joined while the directory was away was let in later".into());
+        }
+        if self.joined.get() && self.stale.get() == 0 {
+            faults.push("the directory was away, and no answer said so".into());
+        }
+        faults
+    }
+
+    /// Judges an answer to one who asked at a time.
+    pub fn judge(&self, asked_at: i64, login: &str, a: &Answer) {
+        self.stale.set(self.stale.get() + u64::from(a.stale_us != 0));
+        if login == NEWCOMER {
+            self.newcomers.set(self.newcomers.get() + u64::from(!a.not_allowed));
+            return;
+        }
+        let mut faults = self.faults.borrow_mut();
+        let mut fault = |what: String| {
+            if faults.len() < 20 {
+                faults.push(format!("{} asking {} of {login}: {what}", a.key, a.ask));
+            }
+        };
+        if a.not_allowed {
+            fault(format!("turned away ({}), a member all along", a.reason));
+        }
+        let away = self.away_since.get();
+        let surely_stale = away > 0 && asked_at > away + self.fresh_us + self.every_us + TRAVELS;
+        if surely_stale && a.stale_us == 0 {
+            fault("rests on old knowledge and does not say so".into());
+        }
+        if away == 0 && asked_at > self.unsure_until.get() && a.stale_us != 0 {
+            fault(format!("says that it rests on knowledge of {} us ago, and all is heard", a.stale_us));
+        }
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod day;
 pub mod directory;
 pub mod drill;
+pub mod feast;
 pub mod machine;
 pub mod owner;
 pub mod register;
--- a/standins/src/machine.rs
+++ b/standins/src/machine.rs
@@ -1,6 +1,7 @@
 //! A stand-in machine: it looks at one offer at a time, accepts within bounds or refuses with a reason, starts a few
 //! tasks at once, slowly where it has not the program, keeps programs for a while, evicts when memory runs out,
 //! pushes out for higher priority, drops repeats of a keyed task in its hall, and falls over if pushed while cold.
+use crate::feast::Feast;
 use crate::rough::{self, Knobs, Seen};
 use basaltpitch_agent::holder::{Holder, Id, Say, State};
 use basaltpitch_agent::link::{self, Clock, News, Order};
@@ -47,6 +48,8 @@
     /// Copies of keyed tasks that stand, by group of machines and key.
     pub standing: RefCell<HashMap<(String, String), u32>>,
     pub uses: RefCell<Uses>,
+    /// The directory of the day, if it has one.
+    pub feast: RefCell<Option<Rc<Feast>>>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/standins/src/owner.rs
+++ b/standins/src/owner.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug)]
 pub struct Wish {
     pub submit: Submit,
+    /// As the day's file names it.
+    pub tenant: String,
     pub limit_us: i64,
     pub repeatable: bool,
     pub tries: u32,
@@ -63,6 +65,7 @@
 
 struct Owner {
     number: u64,
+    login: String,
     world: Rc<World>,
     front: Front,
     seens: Rc<RefCell<Seens>>,
@@ -77,9 +80,10 @@
     works: BTreeMap<String, Work>,
 }
 
-/// Starts an owner that first turns to planner `planner` of the front.
+/// Starts an owner, known by a login, that first turns to the planner of its number.
 pub fn start(
     world: Rc<World>,
+    login: &str,
     front: Front,
     seens: Rc<RefCell<Seens>>,
     number: u64,
@@ -90,6 +94,7 @@
     let planner = number as usize % front.borrow().len();
     let owner = Owner {
         number,
+        login: login.to_owned(),
         world,
         front,
         seens,
@@ -143,6 +148,9 @@
         let Some(work) = self.works.get_mut(key) else { return };
         work.wish.submit.ask += 1;
         work.wish.submit.time_left_us = work.wish.limit_us;
+        if let Some(feast) = &*self.world.feast.borrow() {
+            work.wish.submit.tenant = feast.called(&work.wish.tenant);
+        }
         if orders.try_send(Order::Send(Body::Submit(work.wish.submit.clone()), None)).is_ok() {
             self.seens.borrow_mut().asked += 1;
             (work.asked_at, work.phase, work.of) = (now, Phase::Asking(now + work.wish.limit_us), Some(life));
@@ -235,7 +243,7 @@
             name: format!("owner-{}", self.number),
             epoch: 1,
             link: conn,
-            login: String::new(),
+            login: self.login.clone(),
         };
         let to = news.clone();
         tokio::task::spawn_local(link::run(outer, me, clock, inbox, to, move |n| (conn, n)));
@@ -295,6 +303,9 @@
         if !matches!(work.phase, Phase::Asking(_)) {
             return;
         }
+        if let Some(feast) = &*self.world.feast.borrow() {
+            feast.judge(work.asked_at, &self.login, &a);
+        }
         match AnswerKind::try_from(a.kind) {
             Ok(AnswerKind::Placed) => {
                 work.phase = Phase::Placed;
