--- a/cli/src/measure.rs
+++ b/cli/src/measure.rs
@@ -1,6 +1,9 @@
 //! `basaltpitch measure`: what one planner carries end to end, beside the bare decisions on the same events.
 //! The planner is a process of its own; machines, a register and owners are light ones on other threads, which answer
 //! at once. Loads are open loops: arrivals come by the clock, and a wait before sending counts.
+#[path = "measure_tenants.rs"]
+mod tenants;
+
 use crate::Failure;
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Party};
@@ -32,6 +35,12 @@
     /// Askings without an answer at one time while the highest rate is sought
     #[arg(long, default_value_t = 256)]
     window: usize,
+    /// Compare with a planner that learns so many people from a directory; 0: not
+    #[arg(long, default_value_t = 0)]
+    people: usize,
+    /// Rounds of that comparison
+    #[arg(long, default_value_t = 9)]
+    rounds: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -168,6 +177,8 @@
     lasts: Duration,
     runs_for_us: i64,
     most: u64,
+    login: String,
+    tenant: String,
 }
 
 /// What owners saw: tasks placed, and the time from when each was to be sent to its answer.
@@ -189,13 +200,8 @@
             let _ = stream.set_nodelay(true);
             let (orders, inbox) = mpsc::channel(65_536);
             let (news, mut heard) = mpsc::channel(1024);
-            let me = Party {
-                role: Role::Owner,
-                name: format!("owner-{n}"),
-                epoch: 1,
-                link: 1,
-                login: String::new(),
-            };
+            let (login, name) = (submits.login.clone(), format!("owner-{n}"));
+            let me = Party { role: Role::Owner, name, epoch: 1, link: 1, login };
             tokio::task::spawn_local(link::run(stream, me, clock, inbox, news, |n| n));
             let (answers, placed, out, freed) = (answers.clone(), placed.clone(), out.clone(), freed.clone());
             tokio::task::spawn_local(async move {
@@ -239,7 +245,7 @@
                 key: format!("{n}/{at}"),
                 ask: 1,
                 framework: "small".into(),
-                tenant: String::new(),
+                tenant: submits.tenant.clone(),
                 service: n % 200,
                 cores: 0.01,
                 memory: 0.01,
@@ -344,6 +350,18 @@
     }
 
     fn load(&self, planner: &Planner, zero: Instant, arrivals: Arrivals, lasts: u64) -> (Load, Saw) {
+        self.load_as(planner, zero, arrivals, lasts, "", "")
+    }
+
+    fn load_as(
+        &self,
+        planner: &Planner,
+        zero: Instant,
+        arrivals: Arrivals,
+        lasts: u64,
+        login: &str,
+        tenant: &str,
+    ) -> (Load, Saw) {
         let before = planner.cpu_us();
         let submits = Submits {
             planner: planner.address.clone(),
@@ -352,6 +370,8 @@
             lasts: Duration::from_secs(lasts),
             runs_for_us: 200_000,
             most: u64::MAX,
+            login: login.to_owned(),
+            tenant: tenant.to_owned(),
         };
         let saw = on_thread("owners", move || own(zero, submits)).join().expect("owners end");
         let cpu_us = planner.cpu_us() - before;
@@ -379,6 +399,11 @@
         launches.try_iter().for_each(|us| launch_us.saturating_record(us));
         drop(planner);
 
+        if self.people > 0 {
+            let found = self.tenants(&files, folder, &register, zero, most.per_s / 2.0)?;
+            crate::ask::show(&found, json);
+            return Ok(());
+        }
         let (per_conn, per_task) = self.memory(&files, &register, zero)?;
 
         let path = folder.join("events.recording");
@@ -430,6 +455,8 @@
             lasts: Duration::from_secs(60),
             runs_for_us,
             most,
+            login: String::new(),
+            tenant: String::new(),
         };
         // A first load, so that buffers have grown.
         let warm = submits(1, 2000, 1000);
--- a/planner/src/tenancy.rs
+++ b/planner/src/tenancy.rs
@@ -301,7 +301,8 @@
             Tenancy::Learnt(l) => {
                 let ruling = l.rule(now, login, Asks::Submit { tenant });
                 let known = l.keeper.tenants();
-                let place = known.find(tenant, now).and_then(|id| known.index(id));
+                let found = || known.find(tenant, now).and_then(|id| known.index(id));
+                let place = ruling.may.then(found).flatten();
                 let stale_us = if ruling.stale { l.keeper.stale_us(now) } else { 0 };
                 Ok(Asked { tenant: place, stale_us, refused: l.refusal(now, ruling) })
             }
@@ -322,9 +323,8 @@
         match self {
             Tenancy::Listed(names) => (names[tenant].clone(), String::new()),
             Tenancy::Learnt(l) => {
-                let known = l.keeper.tenants();
-                let id = known.at(tenant).map(|id| id.to_string()).unwrap_or_default();
-                (known.name_at(tenant).to_owned(), id)
+                let (name, id) = l.keeper.tenants().called(tenant);
+                (name.to_owned(), id.to_owned())
             }
         }
     }
--- a/tenants/src/lib.rs
+++ b/tenants/src/lib.rs
@@ -22,9 +22,15 @@
 impl Id {
     /// Reads 32 hex digits, with or without dashes.
     pub fn read(text: &str) -> Option<Id> {
-        let digits: String = text.chars().filter(|c| *c != '-').collect();
-        let hex = digits.len() == 32 && digits.bytes().all(|b| b.is_ascii_hexdigit());
-        hex.then(|| u128::from_str_radix(&digits, 16).ok().map(Id)).flatten()
+        // Names are looked up with every asking: most are none by their length.
+        if !matches!(text.len(), 32..=36) {
+            return None;
+        }
+        let (mut id, mut digits) = (0u128, 0);
+        for c in text.chars().filter(|c| *c != '-') {
+            (id, digits) = (id << 4 | u128::from(c.to_digit(16)?), digits + 1);
+        }
+        (digits == 32).then_some(Id(id))
     }
 }
 
@@ -138,8 +144,8 @@
     /// Tenants' indices are never given to another: the module's shares and running tasks rest on them.
     tenants: Vec<Id>,
     places: FnvHashMap<Id, usize>,
-    /// The last known name of each tenant, by index; empty where none was heard.
-    names: Vec<String>,
+    /// The last known name of each tenant, by index, empty where none was heard; and its id as text.
+    names: Vec<(String, String)>,
     /// Names of before that no tenant has now; see `find`.
     old_names: FnvHashMap<String, Id>,
     /// The last stamp of an entry that went.
@@ -244,7 +250,7 @@
         }
         if let What::Tenant { share } = entry.what {
             let index = self.place(id);
-            self.names[index].clone_from(&entry.name);
+            self.names[index].0.clone_from(&entry.name);
             match &old {
                 None => changes.push(Change::Came { id, name: entry.name.clone() }),
                 Some(k) => {
@@ -333,9 +339,9 @@
         by_id.or_else(by_name).or_else(|| self.old_names.get(name).copied().filter(was))
     }
 
-    /// The name of the tenant under an index, the last known one if it is gone.
-    pub fn name_at(&self, index: usize) -> &str {
-        self.names.get(index).map_or("", String::as_str)
+    /// The name of the tenant under an index, the last known one if it is gone, and its id as text.
+    pub fn called(&self, index: usize) -> (&str, &str) {
+        self.names.get(index).map_or(("", ""), |x| (&x.0, &x.1))
     }
 
     /// The people in a group or tenant, by login.
@@ -353,7 +359,7 @@
     pub fn place(&mut self, id: Id) -> usize {
         *self.places.entry(id).or_insert_with(|| {
             self.tenants.push(id);
-            self.names.push(String::new());
+            self.names.push((String::new(), id.to_string()));
             self.tenants.len() - 1
         })
     }
