--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -62,6 +62,16 @@
     }
 }
 
+/// One asking of an owner's: which task, under which number, from whom, and what it asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asking<K, J> {
+    pub key: K,
+    pub ask: u64,
+    pub owner: u64,
+    pub kind: Kind,
+    pub job: J,
+}
+
 /// The final answer to an asking.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Answer {
@@ -281,48 +291,26 @@
 
     /// An owner asks for a task. The same asking again joins the record it has; a new one of a task that runs
     /// is told where; one that could run a second time beside a launch in doubt is held off.
-    pub fn submit(
-        &mut self,
-        key: K,
-        ask: u64,
-        owner: u64,
-        kind: Kind,
-        job: J,
-        left_us: i64,
-        acts: &mut Vec<Act<K>>,
-    ) {
-        self.ask_for(key, ask, owner, kind, job, Ok(left_us), acts);
+    pub fn submit(&mut self, asking: Asking<K, J>, left_us: i64, acts: &mut Vec<Act<K>>) {
+        self.ask_for(asking, Ok(left_us), acts);
     }
 
-    /// The same for an asking that is to be declined at the door. A repeat of an asking that is open or answered goes
-    /// on, a task that runs is answered as placed, and what may have run is not declined.
-    #[allow(clippy::too_many_arguments)]
+    /// The same for an asking that is to be declined at the door, with words and the time after which to ask again. A
+    /// repeat of an asking that is open or answered goes on, a task that runs is answered as placed, and what may have
+    /// run is not declined.
     pub fn not_allowed(
         &mut self,
-        key: K,
-        ask: u64,
-        owner: u64,
-        kind: Kind,
-        job: J,
+        asking: Asking<K, J>,
         refusal: (&'static str, i64),
         acts: &mut Vec<Act<K>>,
     ) {
         let (words, retry_after_us) = refusal;
         let declined = Answer::Declined { retry_after_us, reason: Reason::NotAllowed(words) };
-        self.ask_for(key, ask, owner, kind, job, Err(declined), acts);
+        self.ask_for(asking, Err(declined), acts);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn ask_for(
-        &mut self,
-        key: K,
-        ask: u64,
-        owner: u64,
-        kind: Kind,
-        job: J,
-        left_us: Result<i64, Answer>,
-        acts: &mut Vec<Act<K>>,
-    ) {
+    fn ask_for(&mut self, asking: Asking<K, J>, left_us: Result<i64, Answer>, acts: &mut Vec<Act<K>>) {
+        let Asking { key, ask, owner, kind, job } = asking;
         let at_door = left_us.err();
         let left_us = left_us.unwrap_or_default() - self.promises.travel_us;
         let say = |answer| Act::Answer { key: key.clone(), ask, owner, answer };
--- a/ledger/tests/every_state.rs
+++ b/ledger/tests/every_state.rs
@@ -3,7 +3,9 @@
 //! rules allow; links may be cut at any point, with frames in the air lost, or late by a whole link.
 use basaltpitch::host::Outcome;
 use basaltpitch_agent::holder::{Holder, Say, State};
-use basaltpitch_ledger::{Act, Answer, CopyState, Ending, Held, Kind, Launch, Ledger, Phase, PROMISES};
+use basaltpitch_ledger::{
+    Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Phase, PROMISES,
+};
 use pathfinding::prelude::bfs_reach;
 use std::collections::VecDeque;
 
@@ -94,7 +96,8 @@
         self.asks += 1;
         self.answers = 0;
         let mut acts = Vec::new();
-        self.ledger.submit(0, self.asks, 1, kind, (), 9_000_000, &mut acts);
+        let asking = Asking { key: 0, ask: self.asks, owner: 1, kind, job: () };
+        self.ledger.submit(asking, 9_000_000, &mut acts);
         self.carry(acts);
     }
 
--- /dev/null
+++ b/planner/benches/asked.rs
@@ -0,0 +1,54 @@
+//! What it takes to find whether someone may submit for a tenant: a list in the settings, and a directory with so many people
+//! in tenants, each through groups nested five deep. `cargo bench -p basaltpitch-planner`.
+use basaltpitch_planner::tenancy::{Learnt, Tenancy, Ways};
+use basaltpitch_tenants::health::PACE;
+use basaltpitch_tenants::rights::Terms;
+use basaltpitch_tenants::trust::CAUTION;
+use basaltpitch_tenants::{Entry, Id, Sweep, What};
+use divan::{black_box, Bencher};
+
+const TENANTS: usize = 100;
+const DEEP: usize = 5;
+
+fn main() {
+    divan::main();
+}
+
+fn learnt(people: usize) -> Tenancy {
+    let entry = |id: usize, what: What, name: String, members: Vec<String>| {
+        let stamp = "20261201000000Z".to_owned();
+        Entry { id: Id(id as u128), what, dn: format!("cn={name}"), name, members, stamp }
+    };
+    let mut all: Vec<Entry> = (0..people).map(|n| entry(n, What::Person, format!("p{n}"), vec![])).collect();
+    for t in 0..TENANTS {
+        for depth in 0..=DEEP {
+            let below = if depth < DEEP {
+                vec![format!("cn=t{t}g{}", depth + 1)]
+            } else {
+                (t..people).step_by(TENANTS).map(|n| format!("cn=p{n}")).collect()
+            };
+            let what = if depth == 0 { What::Tenant { share: 0.01 } } else { What::Group };
+            let name = if depth == 0 { format!("t{t}") } else { format!("t{t}g{depth}") };
+            all.push(entry(10_000_000 + t * 10 + depth, what, name, below));
+        }
+    }
+    let terms = Terms { place_stale: true, ..Terms::default() };
+    let ways = Ways { servers: vec!["one".into()], terms, pace: PACE, caution: CAUTION };
+    let mut learnt = Learnt::new(1, 0, ways, None).expect("nothing is remembered");
+    let task = learnt.next(0).expect("a first sweep");
+    learnt.swept(1, task.number, Some(Sweep::of(all, true)), vec![]);
+    Tenancy::Learnt(Box::new(learnt))
+}
+
+#[divan::bench]
+fn listed(bencher: Bencher) {
+    let tenancy = Tenancy::Listed((0..TENANTS).map(|t| format!("t{t}")).collect());
+    bencher.bench_local(|| tenancy.asked(2, black_box("p77"), black_box("t77")));
+}
+
+#[divan::bench(args = [100, 10_000, 100_000])]
+fn from_a_directory(bencher: Bencher, people: usize) {
+    let tenancy = learnt(people);
+    assert!(tenancy.asked(2, "p77", "t77").is_ok_and(|a| a.refused.is_none()));
+    bencher.bench_local(|| tenancy.asked(2, black_box("p77"), black_box("t77")));
+}
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -14,7 +14,7 @@
 use basaltpitch_agent::wire::{self, Body};
 use basaltpitch_indices::{number_of, Lodgers};
 use basaltpitch_ledger::{
-    Act, Answer, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Promises, Reason, PROMISES,
+    Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Promises, Reason, PROMISES,
 };
 use basaltpitch_tenants::{Change, Sweep};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -744,13 +744,13 @@
         let (cores, memory, runs_for_us) = (s.cores, s.memory, s.runs_for_us);
         let Asked { tenant, stale_us, refused } = asked;
         let job = Job { framework, tenant, service: s.service, cores, memory, runs_for_us, stale_us };
-        let key: Key = s.key.as_str().into();
+        let asking = Asking { key: s.key.as_str().into(), ask: s.ask, owner: conn, kind, job };
         let host = &mut self.placing.host;
         match refused {
-            None => host.on_ledger(|l, acts| l.submit(key, s.ask, conn, kind, job, s.time_left_us, acts)),
+            None => host.on_ledger(|l, acts| l.submit(asking, s.time_left_us, acts)),
             Some(why) => {
                 self.at_door = Some((s.ask, stale_us));
-                host.on_ledger(|l, acts| l.not_allowed(key, s.ask, conn, kind, job, why, acts));
+                host.on_ledger(|l, acts| l.not_allowed(asking, why, acts));
                 self.settle();
                 self.at_door = None;
             }
