--- /dev/null
+++ b/clauses/src/conflict.rs
@@ -0,0 +1,170 @@
+//! Whether any machine of the known fleet could ever take a task, and if none could, a smallest set of clauses that says so:
+//! none of them can be left out. What runs now does not count here, as it ends: a task that is kept out by others, by full
+//! machines or by machines that are down waits. Work is bounded in steps, and an end for want of steps is said.
+use crate::{Clause, Level, Machine, Rule, Scope, Task};
+use std::collections::BTreeSet;
+
+/// How far clauses of those that a task must be with are followed.
+const DEEP: u32 = 3;
+
+/// A set of clauses, by their place in the files, that no machine meets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Conflict {
+    pub clauses: Vec<usize>,
+    /// None can be left out; false: the steps ended before that was sure.
+    pub smallest: bool,
+}
+
+/// Whom clauses are about: the task itself, or any that it must be with.
+enum Whom<'a> {
+    Task(&'a Task),
+    Some(&'a Scope),
+}
+
+struct Search<'a> {
+    clauses: &'a [Clause],
+    /// Machines that differ in what is listed of them.
+    fleet: Vec<&'a Machine>,
+    /// How many machines there are of each.
+    many: Vec<usize>,
+    steps: u64,
+}
+
+impl Search<'_> {
+    fn near(&self, a: usize, b: usize, level: Level) -> bool {
+        let (a, b) = (self.fleet[a], self.fleet[b]);
+        // Machines of one row here may be one machine or several: the same row is as near as can be.
+        match level {
+            Level::Machine => a == b,
+            Level::Rack => (&a.hall, a.rack) == (&b.hall, b.rack),
+            Level::Hall => a.hall == b.hall,
+        }
+    }
+
+    /// Whether the clauses let some machine like `m` have the task, with those that it must be with somewhere near.
+    fn meets(&mut self, among: &BTreeSet<usize>, whom: &Whom, m: usize, depth: u32) -> Option<bool> {
+        let clauses = self.clauses;
+        let binds = |c: &Clause| match whom {
+            Whom::Task(t) => c.of.matches(t),
+            Whom::Some(s) => c.of.covers(s),
+        };
+        for &c in among {
+            let clause = &clauses[c];
+            if !binds(clause) {
+                continue;
+            }
+            self.steps = self.steps.checked_sub(1)?;
+            let met = match &clause.rule {
+                Rule::In(which) => which.names(self.fleet[m]),
+                Rule::NotIn(which) => !which.names(self.fleet[m]),
+                Rule::With(others, level) => {
+                    let itself = match whom {
+                        Whom::Task(t) => others.matches(t),
+                        Whom::Some(s) => others.covers(s),
+                    };
+                    itself || depth == 0 || self.somebody_near(among, whom, m, others, *level, depth)?
+                }
+                Rule::Apart(..) | Rule::Spread { .. } => true,
+            };
+            if !met {
+                return Some(false);
+            }
+        }
+        Some(true)
+    }
+
+    /// Whether one of `others` could be near a machine like `m`, and not so near that it must be apart.
+    fn somebody_near(
+        &mut self,
+        among: &BTreeSet<usize>,
+        whom: &Whom,
+        m: usize,
+        others: &Scope,
+        level: Level,
+        depth: u32,
+    ) -> Option<bool> {
+        let clauses = self.clauses;
+        let apart = among.iter().filter_map(|&c| {
+            let Rule::Apart(from, far) = &clauses[c].rule else { return None };
+            let of = &clauses[c].of;
+            let there = match whom {
+                Whom::Task(t) => of.matches(t) && from.covers(others) || from.matches(t) && of.covers(others),
+                Whom::Some(s) => of.covers(s) && from.covers(others) || from.covers(s) && of.covers(others),
+            };
+            there.then_some(*far)
+        });
+        let apart = apart.max();
+        for n in 0..self.fleet.len() {
+            self.steps = self.steps.checked_sub(1)?;
+            if !self.near(m, n, level) {
+                continue;
+            }
+            let too_near = match apart {
+                // Two machines of one row are two machines.
+                Some(Level::Machine) => n == m && (self.many[m] < 2 || level == Level::Machine),
+                Some(far) => self.near(m, n, far),
+                None => false,
+            };
+            if !too_near && self.meets(among, &Whom::Some(others), n, depth - 1)? {
+                return Some(true);
+            }
+        }
+        Some(false)
+    }
+
+    /// Whether any machine meets a set of clauses; `None`: the steps ended.
+    fn possible(&mut self, among: &BTreeSet<usize>, task: &Task) -> Option<bool> {
+        for m in 0..self.fleet.len() {
+            if self.meets(among, &Whom::Task(task), m, DEEP)? {
+                return Some(true);
+            }
+        }
+        Some(false)
+    }
+}
+
+/// Why no machine of a fleet could ever take a task; `None`: one could, or the steps ended before that was known, and then
+/// the task waits as if one could.
+pub fn conflict<'a>(
+    clauses: &[Clause],
+    fleet: impl Iterator<Item = &'a Machine>,
+    task: &Task,
+    steps: u64,
+) -> Option<Conflict> {
+    let mut rows: Vec<&Machine> = fleet.collect();
+    rows.sort();
+    let mut many: Vec<usize> = Vec::new();
+    let mut kinds: Vec<&Machine> = Vec::new();
+    for m in rows {
+        if kinds.last() == Some(&m) {
+            *many.last_mut()? += 1;
+        } else {
+            kinds.push(m);
+            many.push(1);
+        }
+    }
+    if kinds.is_empty() {
+        return None;
+    }
+    let mut search = Search { clauses, fleet: kinds, many, steps };
+    let mut set: BTreeSet<usize> = (0..clauses.len()).filter(|&c| clauses[c].must()).collect();
+    if search.possible(&set, task)? {
+        return None;
+    }
+    // Leaving one out at a time: fewer clauses never make less possible, so what stays cannot be left out.
+    for c in set.clone() {
+        set.remove(&c);
+        match search.possible(&set, task) {
+            Some(false) => {}
+            Some(true) => {
+                set.insert(c);
+            }
+            None => {
+                set.insert(c);
+                let clauses = set.into_iter().collect();
+                return Some(Conflict { clauses, smallest: false });
+            }
+        }
+    }
+    Some(Conflict { clauses: set.into_iter().collect(), smallest: true })
+}
--- /dev/null
+++ b/clauses/src/read.rs
@@ -0,0 +1,291 @@
+//! Takes clauses out of an installation's records. What types alone do not find is found here, with both places: names that
+//! stand for nothing, a rack of no hall, a spread of nothing, clauses that can never hold together, and one that another
+//! swallows.
+use crate::{By, Clause, Gone, Level, Rule, Scope, Which};
+use basaltpitch_records::{Fault, Plain, Settled};
+
+fn texts(of: &Settled, list: &str) -> Vec<(String, basaltpitch_records::Span)> {
+    let text = |x: &Settled| match &x.value {
+        Plain::Text(t) => Some((t.clone(), x.at)),
+        _ => None,
+    };
+    of.list(list).iter().filter_map(text).collect()
+}
+
+/// Names that clauses may use.
+struct Known<'a> {
+    all: &'a Settled,
+    faults: Vec<Fault>,
+}
+
+impl Known<'_> {
+    fn named(&mut self, list: &str, name: &str, at: basaltpitch_records::Span) {
+        let names: Vec<String> = match list {
+            "zones" => texts(self.all, list).into_iter().map(|x| x.0).collect(),
+            _ => self.all.list(list).iter().filter_map(|x| x.text("name").map(str::to_owned)).collect(),
+        };
+        if !names.iter().any(|n| n == name) {
+            let list = if list == "zones" { "halls (zones)" } else { list };
+            let what = format!("found {name:?}; expected one of the {list}: {}", names.join(", "));
+            self.faults.push(Fault::new(at, what));
+        }
+    }
+
+    fn scope(&mut self, s: &Settled) -> Scope {
+        if let Some(f) = s.get("framework").and_then(|f| Some((s.text("framework")?, f.at))) {
+            self.named("frameworks", f.0, f.1);
+        }
+        // With a directory, tenants are not known before it is heard.
+        let listed = !self.all.list("tenants").is_empty();
+        if let Some(t) = s.get("tenant").filter(|_| listed).and_then(|t| Some((s.text("tenant")?, t.at))) {
+            self.named("tenants", t.0, t.1);
+        }
+        let text = |field: &str| s.text(field).map(str::to_owned);
+        Scope {
+            framework: text("framework"),
+            tenant: text("tenant"),
+            service: s.number("service").map(|n| n as u64),
+            task: text("task").filter(|t| !t.is_empty()),
+        }
+    }
+
+    fn which(&mut self, w: &Settled) -> Which {
+        for (list, names) in [("kinds", "kinds"), ("halls", "zones"), ("racks", "racks")] {
+            for (name, at) in texts(w, list) {
+                self.named(names, &name, at);
+            }
+        }
+        let plain = |list: &str| texts(w, list).into_iter().map(|x| x.0).collect::<Vec<_>>();
+        let racks = self.all.list("racks").iter().filter(|r| {
+            let wanted = plain("racks");
+            r.text("name").is_some_and(|n| wanted.iter().any(|w| w == n))
+        });
+        let racks = racks.map(|r| (r.text("hall").unwrap_or("").to_owned(), number(r, "cell")));
+        let which = Which {
+            kinds: plain("kinds"),
+            halls: plain("halls"),
+            racks: racks.collect(),
+            labels: plain("labels"),
+        };
+        if texts(w, "racks").is_empty() && which == Which::default() {
+            let what = "found no kinds, halls, racks or labels; expected at least one";
+            self.faults.push(Fault::new(w.at, what));
+        }
+        which
+    }
+
+    fn rule(&mut self, c: &Settled, name: &str) -> Option<Rule> {
+        let of = ["in", "not_in", "with", "apart", "spread"];
+        let given: Vec<&str> = of.into_iter().filter(|f| c.get(f).is_some()).collect();
+        let [one] = given[..] else {
+            let what = format!(
+                "{name}: found {}; expected one of in, not_in, with, apart, spread",
+                if given.is_empty() { "none".to_owned() } else { given.join(" and ") }
+            );
+            self.faults.push(Fault::new(c.at, what));
+            return None;
+        };
+        let rule = c.get(one)?;
+        Some(match one {
+            "in" => Rule::In(self.which(rule)),
+            "not_in" => Rule::NotIn(self.which(rule)),
+            "with" => Rule::With(self.scope(rule), level(rule, "within")),
+            "apart" => Rule::Apart(self.scope(rule), level(rule, "within")),
+            _ => {
+                let count = |field: &str| rule.number(field).map(|n| n as u32);
+                let (most, skew) = (count("most"), count("skew"));
+                if most.is_none() && skew.is_none() {
+                    let what = format!("{name}: found a spread of nothing; expected most, skew or both");
+                    self.faults.push(Fault::new(rule.at, what));
+                }
+                let by = if rule.text("by") == Some("all") { By::All } else { By::Service };
+                let gone = if rule.text("gone") == Some("keeps") { Gone::Keeps } else { Gone::Live };
+                Rule::Spread { over: level(rule, "over"), by, most, skew, gone }
+            }
+        })
+    }
+}
+
+fn number(of: &Settled, field: &str) -> u32 {
+    of.number(field).unwrap_or(0.0) as u32
+}
+
+fn level(of: &Settled, field: &str) -> Level {
+    match of.text(field) {
+        Some("machine") => Level::Machine,
+        Some("rack") => Level::Rack,
+        _ => Level::Hall,
+    }
+}
+
+/// The clauses of an installation, in the order of its files, or all that is wrong with them.
+pub fn read(all: &Settled) -> Result<Vec<Clause>, Vec<Fault>> {
+    let mut known = Known { all, faults: Vec::new() };
+    for rack in all.list("racks") {
+        let (name, hall) = (rack.text("name").unwrap_or(""), rack.text("hall").unwrap_or(""));
+        if !texts(all, "zones").iter().any(|z| z.0 == hall) {
+            let halls: Vec<String> = texts(all, "zones").into_iter().map(|x| x.0).collect();
+            let at = rack.get("hall").map_or(rack.at, |h| h.at);
+            let what = format!("rack {name}: found hall {hall:?}; expected one of {}", halls.join(", "));
+            known.faults.push(Fault::new(at, what));
+        }
+    }
+    let mut clauses = Vec::new();
+    for c in all.list("clauses") {
+        let name = c.text("name").unwrap_or("").to_owned();
+        let of = c.get("of").map(|s| known.scope(s)).unwrap_or_default();
+        let wish = (c.text("how") == Some("prefer")).then(|| number(c, "rank"));
+        let Some(rule) = known.rule(c, &name) else { continue };
+        clauses.push(Clause { name, at: c.at, of, wish, rule });
+    }
+    let mut faults = known.faults;
+    if faults.is_empty() {
+        faults = nonsense(&clauses);
+    }
+    if faults.is_empty() {
+        Ok(clauses)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Clauses that can never hold, alone or together, or that another makes needless.
+fn nonsense(clauses: &[Clause]) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    for (i, a) in clauses.iter().enumerate() {
+        for b in &clauses[..i] {
+            if a.name == b.name {
+                let what = format!("clauses: found {:?} twice; expected each name once", a.name);
+                faults.push(Fault::new(a.at, what).with(b.at, "the first"));
+            }
+            // Either may be the one that covers the other.
+            for (a, b) in [(a, b), (b, a)] {
+                if a.must() && b.must() && b.of.covers(&a.of) {
+                    if let Some(why) = never(&a.rule, &b.rule, a) {
+                        let what =
+                            format!("{}: found {why}; expected clauses that can hold together", a.name);
+                        faults.push(
+                            Fault::new(a.at, what)
+                                .with(b.at, format!("{}, which binds the same tasks", b.name)),
+                        );
+                        break;
+                    }
+                    if swallows(b, a) {
+                        let what = format!(
+                            "{}: found a clause that another swallows; expected one that says more",
+                            a.name
+                        );
+                        faults.push(
+                            Fault::new(a.at, what)
+                                .with(b.at, format!("{}, which says as much of all these tasks", b.name)),
+                        );
+                        break;
+                    }
+                }
+            }
+        }
+    }
+    faults.extend(circles(clauses));
+    faults
+}
+
+fn disjoint(a: &[String], b: &[String]) -> bool {
+    !a.is_empty() && !b.is_empty() && !a.iter().any(|x| b.contains(x))
+}
+
+/// Why a task that both bind can be nowhere, whatever the fleet.
+fn never(a: &Rule, b: &Rule, of: &Clause) -> Option<String> {
+    match (a, b) {
+        (Rule::In(a), Rule::In(b)) if disjoint(&a.kinds, &b.kinds) => {
+            Some("kinds of which none is in both".into())
+        }
+        (Rule::In(a), Rule::In(b)) if disjoint(&a.halls, &b.halls) => {
+            Some("halls of which none is in both".into())
+        }
+        (Rule::In(a), Rule::In(b))
+            if !a.racks.is_empty() && !b.racks.is_empty() && !a.racks.iter().any(|r| b.racks.contains(r)) =>
+        {
+            Some("racks of which none is in both".into())
+        }
+        (Rule::In(a), Rule::NotIn(b)) | (Rule::NotIn(b), Rule::In(a)) if within(a, b) => {
+            Some("machines that are wanted and not wanted".into())
+        }
+        (Rule::With(a, near), Rule::Apart(b, far)) | (Rule::Apart(b, far), Rule::With(a, near))
+            if b.covers(a) && far >= near =>
+        {
+            Some("tasks that it must be with and apart from".into())
+        }
+        (Rule::With(a, near), Rule::Spread { over, most: Some(1), by: By::All, .. })
+        | (Rule::Spread { over, most: Some(1), by: By::All, .. }, Rule::With(a, near))
+            if of.of.covers(a) && over >= near =>
+        {
+            Some("tasks that it must be with, and a place for one".into())
+        }
+        _ => None,
+    }
+}
+
+/// Every machine that `a` names is named by `b`.
+fn within(a: &Which, b: &Which) -> bool {
+    let part =
+        |a: &[String], b: &[String]| b.is_empty() || (!a.is_empty() && a.iter().all(|x| b.contains(x)));
+    let racks = b.racks.is_empty() || (!a.racks.is_empty() && a.racks.iter().all(|r| b.racks.contains(r)));
+    part(&a.kinds, &b.kinds) && part(&a.halls, &b.halls) && part(&a.labels, &b.labels) && racks
+}
+
+/// Whatever the first allows, the second allows.
+fn swallows(first: &Clause, second: &Clause) -> bool {
+    match (&first.rule, &second.rule) {
+        (Rule::In(a), Rule::In(b)) => within(a, b),
+        (Rule::NotIn(a), Rule::NotIn(b)) => within(b, a),
+        (Rule::With(a, near), Rule::With(b, far)) => b.covers(a) && far >= near && a.covers(b),
+        (Rule::Apart(a, far), Rule::Apart(b, near)) => a.covers(b) && far >= near,
+        (
+            Rule::Spread { over: o, by: b, most: m, skew: s, gone: g },
+            Rule::Spread { over, by, most, skew, gone },
+        ) => {
+            let tighter = |a: &Option<u32>, b: &Option<u32>| b.is_none() || (a.is_some() && a <= b);
+            // More tasks in a count make a most tighter, and a skew another thing.
+            let alike = first.of == second.of || skew.is_none();
+            (o, b, g) == (over, by, gone) && tighter(m, most) && tighter(s, skew) && alike
+        }
+        _ => false,
+    }
+}
+
+/// Tasks that must each be with others which must be with them, when none may begin.
+fn circles(clauses: &[Clause]) -> Vec<Fault> {
+    let waits: Vec<(&Clause, &Scope)> = clauses
+        .iter()
+        .filter(|c| c.must())
+        .filter_map(|c| match &c.rule {
+            // A task of the same kind may begin.
+            Rule::With(other, _) if !other.covers(&c.of) => Some((c, other)),
+            _ => None,
+        })
+        .collect();
+    let mut faults = Vec::new();
+    for (i, &(first, _)) in waits.iter().enumerate() {
+        // Along clauses that bind all of the tasks that the one before waits for.
+        let (mut way, mut at) = (vec![i], i);
+        while let Some(next) = waits.iter().position(|w| w.0.of.covers(waits[at].1)) {
+            if let Some(begin) = way.iter().position(|&w| w == next) {
+                // Each circle is said once, at its first clause.
+                if way[begin..].iter().min() == Some(&i) && begin == 0 {
+                    let names: Vec<&str> = way.iter().map(|&w| waits[w].0.name.as_str()).collect();
+                    let what = format!(
+                        "{}: found tasks that wait for each other ({}); expected one that may begin",
+                        first.name,
+                        names.join(", ")
+                    );
+                    let last = waits[*way.last().unwrap_or(&i)].0;
+                    faults.push(Fault::new(first.at, what).with(last.at, last.name.clone()));
+                }
+                break;
+            }
+            way.push(next);
+            at = next;
+        }
+    }
+    faults
+}
--- /dev/null
+++ b/clauses/tests/reading.rs
@@ -0,0 +1,212 @@
+//! Clauses as installations write them: what they become, and what makes no sense, with both places.
+use basaltpitch_clauses::deciding::{Deciding, State};
+use basaltpitch_clauses::read::read;
+use basaltpitch_clauses::{Machine, Task};
+use basaltpitch_records::installation::load_texts;
+use expect_test::{expect, Expect};
+
+const SITE: &str = r#"zones: ["hall-a", "hall-b"]
+kinds: [{name: "std", cores: 16, memory: 32}, {name: "wide", cores: 60, memory: 96}]
+frameworks: [
+	{name: "web", repeat: "repeatable", goal: 600ms, limit: 6s},
+	{name: "batch", repeat: "repeatable", goal: 600ms, limit: 6s},
+]
+"#;
+const RACKS: &str =
+    "racks: [{name: \"a1\", hall: \"hall-a\", cell: 1}, {name: \"b1\", hall: \"hall-b\", cell: 1}]\n";
+
+fn said(clauses: &str) -> String {
+    let clauses =
+        &if clauses.contains("racks: [{") { clauses.to_owned() } else { format!("{clauses}{RACKS}") };
+    match load_texts(&[("site.rec", SITE), ("clauses.rec", clauses)]) {
+        Ok(site) => match read(&site.all) {
+            Ok(clauses) => clauses.iter().map(|c| format!("{}: {:?} {:?}\n", c.name, c.of, c.rule)).collect(),
+            Err(faults) => {
+                let mut sources = basaltpitch_records::Sources::default();
+                sources.add("built-in types", "");
+                sources.add("site.rec", SITE);
+                sources.add("clauses.rec", clauses);
+                faults.iter().map(|f| format!("{}\n", f.line(&sources))).collect()
+            }
+        },
+        Err((sources, faults)) => faults.iter().map(|f| format!("{}\n", f.line(&sources))).collect(),
+    }
+}
+
+fn check(clauses: &str, want: Expect) {
+    want.assert_eq(&said(clauses));
+}
+
+#[test]
+fn definitions_are_used_again_and_unified() {
+    check(
+        r#"#Fast: #Which & {labels: ["ssd"]}
+clauses: [
+	{name: "fast", of: {framework: "web"}, in: #Fast & {halls: ["hall-a"]}},
+	{name: "spread", of: {framework: "web"}, spread: {over: "rack", skew: 1}},
+	{name: "near", how: "prefer", rank: 3, of: {service: 4}, with: {framework: "batch", within: "rack"}},
+	{name: "first rack", of: {task: "db/"}, in: racks: ["a1"]},
+]
+"#,
+        expect![[r#"
+            fast: Scope { framework: Some("web"), tenant: None, service: None, task: None } In(Which { kinds: [], halls: ["hall-a"], racks: [], labels: ["ssd"] })
+            spread: Scope { framework: Some("web"), tenant: None, service: None, task: None } Spread { over: Rack, by: Service, most: None, skew: Some(1), gone: Live }
+            near: Scope { framework: None, tenant: None, service: Some(4), task: None } With(Scope { framework: Some("batch"), tenant: None, service: None, task: None }, Rack)
+            first rack: Scope { framework: None, tenant: None, service: None, task: Some("db/") } In(Which { kinds: [], halls: [], racks: [("hall-a", 1)], labels: [] })
+        "#]],
+    );
+}
+
+#[test]
+fn what_types_alone_do_not_find() {
+    check(
+        r#"clauses: [
+	{name: "one", in: {halls: ["hall-c"]}},
+	{name: "two", of: {framework: "wob"}, spread: {over: "hall"}},
+	{name: "three", in: {}},
+	{name: "four", in: {halls: ["hall-a"]}, not_in: {halls: ["hall-b"]}},
+	{name: "five"},
+]
+racks: [{name: "c1", hall: "hall-c", cell: 1}]
+"#,
+        expect![[r#"
+            clauses.rec:8:28: rack c1: found hall "hall-c"; expected one of hall-a, hall-b
+            clauses.rec:2:29: found "hall-c"; expected one of the halls (zones): hall-a, hall-b
+            clauses.rec:3:32: found "wob"; expected one of the frameworks: web, batch
+            clauses.rec:3:48: two: found a spread of nothing; expected most, skew or both
+            clauses.rec:4:22: found no kinds, halls, racks or labels; expected at least one
+            clauses.rec:5:2: four: found in and not_in; expected one of in, not_in, with, apart, spread
+            clauses.rec:6:2: five: found none; expected one of in, not_in, with, apart, spread
+        "#]],
+    );
+    check(
+        "clauses: [{name: \"x\", spread: {over: \"table\", most: 0}}]\n",
+        expect![[r#"
+        clauses.rec:1:38: clauses[0].spread.over: found "table"; expected "machine" or "rack" or "hall"
+          built-in types:51:8: this is what it was to be unified with
+    "#]],
+    );
+}
+
+#[test]
+fn clauses_that_can_never_hold_and_such_as_say_nothing() {
+    check(
+        r#"clauses: [
+	{name: "here", of: {framework: "web"}, in: {halls: ["hall-a"]}},
+	{name: "there", of: {framework: "web", service: 3}, in: {halls: ["hall-b"]}},
+	{name: "also here", of: {framework: "web"}, in: {halls: ["hall-a", "hall-b"]}},
+	{name: "beside", of: {framework: "batch"}, with: {framework: "web", within: "rack"}},
+	{name: "away", of: {framework: "batch"}, apart: {framework: "web", within: "hall"}},
+	{name: "one each", spread: {over: "rack", most: 1}},
+	{name: "two each", of: {framework: "web"}, spread: {over: "rack", most: 2}},
+	{name: "here", of: {framework: "batch"}, in: {kinds: ["std"]}},
+]
+"#,
+        expect![[r#"
+            clauses.rec:3:2: there: found halls of which none is in both; expected clauses that can hold together
+              clauses.rec:2:2: here, which binds the same tasks
+            clauses.rec:4:2: also here: found a clause that another swallows; expected one that says more
+              clauses.rec:2:2: here, which says as much of all these tasks
+            clauses.rec:6:2: away: found tasks that it must be with and apart from; expected clauses that can hold together
+              clauses.rec:5:2: beside, which binds the same tasks
+            clauses.rec:8:2: two each: found a clause that another swallows; expected one that says more
+              clauses.rec:7:2: one each, which says as much of all these tasks
+            clauses.rec:9:2: clauses: found "here" twice; expected each name once
+              clauses.rec:2:2: the first
+        "#]],
+    );
+}
+
+#[test]
+fn tasks_that_wait_for_each_other() {
+    check(
+        r#"clauses: [
+	{name: "a", of: {framework: "web"}, with: {framework: "batch", within: "rack"}},
+	{name: "b", of: {framework: "batch"}, with: {framework: "web", within: "hall"}},
+]
+"#,
+        expect![[r#"
+            clauses.rec:2:2: a: found tasks that wait for each other (a, b); expected one that may begin
+              clauses.rec:3:2: b
+        "#]],
+    );
+    check(
+        r#"clauses: [
+	{name: "a", of: {framework: "web"}, with: {framework: "batch", within: "rack"}},
+	{name: "b", of: {framework: "batch"}, with: {framework: "batch", within: "hall"}},
+]
+"#,
+        expect![[r#"
+            a: Scope { framework: Some("web"), tenant: None, service: None, task: None } With(Scope { framework: Some("batch"), tenant: None, service: None, task: None }, Rack)
+            b: Scope { framework: Some("batch"), tenant: None, service: None, task: None } With(Scope { framework: Some("batch"), tenant: None, service: None, task: None }, Hall)
+        "#]],
+    );
+}
+
+/// A hall goes, comes back and goes again with tasks in it: the spread is over the halls that live, and nothing that was
+/// counted is counted twice or lost.
+#[test]
+fn a_hall_gone_back_and_gone_again() {
+    for (gone, free_then) in [("live", true), ("keeps", false)] {
+        let text =
+            format!("clauses: [{{name: \"s\", spread: {{over: \"hall\", skew: 1, gone: \"{gone}\"}}}}]\n");
+        let site = load_texts(&[("site.rec", SITE), ("clauses.rec", &text)]).map_err(|e| e.1).unwrap();
+        let mut d = Deciding::new(read(&site.all).unwrap());
+        let hall = |d: &mut Deciding, name: &str, from: usize, state: State| {
+            for m in from..from + 2 {
+                let facts = Machine { kind: "std".into(), hall: name.into(), rack: 1, labels: vec![] };
+                d.machine(m, facts, state);
+            }
+        };
+        for (from, name) in [(0, "hall-a"), (2, "hall-b"), (4, "hall-c")] {
+            hall(&mut d, name, from, State::Ready);
+        }
+        let g = d.enter(&Task::default());
+        for (n, m) in [0, 2, 4].into_iter().enumerate() {
+            assert!(d.allows(g, m));
+            d.placed((0, n as u64), g, m);
+        }
+        d.placed((0, 9), g, 0);
+        assert_eq!([0, 2, 4].map(|m| d.allows(g, m)), [false, true, true], "two in the first hall");
+        d.placed((0, 10), g, 2);
+        for _ in 0..2 {
+            hall(&mut d, "hall-c", 4, State::Down);
+            assert_eq!([0, 2].map(|m| d.allows(g, m)), [free_then, free_then], "{gone}");
+            hall(&mut d, "hall-c", 4, State::Ready);
+            assert_eq!([0, 2, 4].map(|m| d.allows(g, m)), [false, false, true], "new ones level it out");
+        }
+        d.over((0, 2));
+        d.placed((0, 11), g, 5);
+        d.placed((0, 12), g, 4);
+        assert_eq!([0, 2, 4].map(|m| d.allows(g, m)), [true, true, true]);
+    }
+}
+
+/// Services come and go: what was kept for one that nothing uses leaves, and is right when it comes back.
+#[test]
+fn groups_that_nothing_uses_leave() {
+    let text = "clauses: [{name: \"s\", spread: {over: \"machine\", most: 1}}]\n";
+    let site = load_texts(&[("site.rec", SITE), ("clauses.rec", text)]).map_err(|e| e.1).unwrap();
+    let mut d = Deciding::new(read(&site.all).unwrap());
+    for m in 0..4 {
+        d.machine(m, Machine { hall: "hall-a".into(), ..Machine::default() }, State::Ready);
+    }
+    let task = |service| Task { service, ..Task::default() };
+    let held = d.enter(&task(7));
+    d.placed((0, 7), held, 2);
+    d.leave(held);
+    for round in 0..3 {
+        for service in 1000..3000 {
+            let g = d.enter(&task(service));
+            assert!((0..4).all(|m| d.allows(g, m)), "round {round}");
+            d.placed((1, service), g, 1);
+            assert!(!d.allows(g, 1) && d.allows(g, 2));
+            d.over((1, service));
+            d.leave(g);
+        }
+        let g = d.enter(&task(7));
+        assert_eq!([1, 2].map(|m| d.allows(g, m)), [true, false], "what runs is counted all along");
+        d.leave(g);
+    }
+    assert!(d.groups() < 600, "{} groups", d.groups());
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -139,8 +139,27 @@
     })
 }
 
+/// The clauses of an installation's files with a name and place of each, or all that is wrong with them.
+fn clauses_of(
+    installation: &basaltpitch_records::installation::Installation,
+    files: &[PathBuf],
+) -> Result<Vec<(basaltpitch_clauses::Clause, String)>, Failure> {
+    let sources = basaltpitch_records::installation::sources(files);
+    let read = basaltpitch_clauses::read::read(&installation.all).map_err(|faults| {
+        let text = faults.iter().map(|f| format!("{}\n{:?}", f.line(&sources), f.report(&sources)));
+        Failure::Wrong(text.collect::<Vec<_>>().join("\n"))
+    })?;
+    let placed = |c: basaltpitch_clauses::Clause| {
+        let (file, line, _) = sources.place(c.at);
+        let words = format!("{} ({file}:{line})", c.name);
+        (c, words)
+    };
+    Ok(read.into_iter().map(placed).collect())
+}
+
 fn check(files: &[PathBuf], ask: bool, json: bool) -> Result<(), Failure> {
     let found = load(files)?;
+    clauses_of(&found, files)?;
     let directory = directory_of(&found, files)?;
     if ask {
         let none = || Failure::Wrong("--directory: found no directory in these files; expected one".into());
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -81,6 +81,7 @@
         let given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let epoch = self.epoch.unwrap_or(since.map_or(1, |d| d.as_micros() as u64));
+        let clauses = crate::clauses_of(&installation, &self.files)?;
         let directory = crate::directory_of(&installation, &self.files)?;
         let store = self.state.as_ref().map(|folder| self.open(folder)).transpose()?;
         let record = self.record.as_ref().map(|path| {
@@ -108,7 +109,7 @@
             let stop = async {
                 let _ = tokio::signal::ctrl_c().await;
             };
-            let start = Start { who, given, record, directory, store };
+            let start = Start { who, given, record, clauses, directory, store };
             basaltpitch_planner::service::serve(listener, start, stop).await;
             Ok(())
         })
--- a/directory/tests/settings.rs
+++ b/directory/tests/settings.rs
@@ -86,9 +86,9 @@
     check(
         "place_stale: 3\n",
         expect![[r#"
-        directory.rec:7:14: directory.place_stale: found 3; expected true or true or false
-          built-in types:78:15: this is what it was to be unified with
-    "#]],
+            directory.rec:7:14: directory.place_stale: found 3; expected true or true or false
+              built-in types:128:15: this is what it was to be unified with
+        "#]],
     );
 }
 
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -46,6 +46,8 @@
     TooLate,
     /// Who asked may not; the caller's words say why.
     NotAllowed(&'static str),
+    /// No machine that is known could ever meet the task's clauses.
+    NoMachine,
 }
 
 impl Reason {
@@ -58,6 +60,7 @@
             Reason::Crowded => "too many open tasks here",
             Reason::TooLate => "too little time is left",
             Reason::NotAllowed(words) => words,
+            Reason::NoMachine => "no machine could ever meet its clauses",
         }
     }
 }
@@ -109,7 +112,8 @@
     Stopped,
 }
 
-/// What must be done, in order. The first five go to the placing module, the rest to peers.
+/// What must be done, in order. The first five go to the placing module, the last two to whoever counts copies, the rest to
+/// peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Act<K> {
     Wanted {
@@ -163,6 +167,16 @@
         owner: u64,
         how: Life,
     },
+    /// From now on a copy of the task counts on the machine: it may run there.
+    Began {
+        launch: Launch,
+        machine: usize,
+        key: K,
+    },
+    /// That copy counts no more.
+    Over {
+        launch: Launch,
+    },
 }
 
 /// What a machine says it holds of this planner's.
@@ -295,17 +309,12 @@
         self.ask_for(asking, Ok(left_us), acts);
     }
 
-    /// The same for an asking that is to be declined at the door, with words and the time after which to ask again. A
+    /// The same for an asking that is to be declined at the door, and the time after which to ask again. A
     /// repeat of an asking that is open or answered goes on, a task that runs is answered as placed, and what may have
     /// run is not declined.
-    pub fn not_allowed(
-        &mut self,
-        asking: Asking<K, J>,
-        refusal: (&'static str, i64),
-        acts: &mut Vec<Act<K>>,
-    ) {
-        let (words, retry_after_us) = refusal;
-        let declined = Answer::Declined { retry_after_us, reason: Reason::NotAllowed(words) };
+    pub fn declined_at_door(&mut self, asking: Asking<K, J>, refusal: (Reason, i64), acts: &mut Vec<Act<K>>) {
+        let (reason, retry_after_us) = refusal;
+        let declined = Answer::Declined { retry_after_us, reason };
         self.ask_for(asking, Err(declined), acts);
     }
 
@@ -412,6 +421,7 @@
             task: Some(task),
             since: self.now,
         });
+        acts.push(Act::Began { launch, machine, key: key.clone() });
         self.launches.insert(launch, key.clone());
         self.on_machine.insert((machine, launch));
         acts.push(Act::Launch { key, launch, machine, time_out_us });
@@ -610,6 +620,7 @@
                 self.closed.push_back((now, key.clone()));
             }
             record.copies.push(Copy { launch, machine, state: CopyState::Doubt, task: None, since: now });
+            acts.push(Act::Began { launch, machine, key: key.clone() });
             self.launches.insert(launch, key.clone());
             self.on_machine.insert((machine, launch));
             let record = &self.records[&key];
@@ -656,6 +667,7 @@
     /// A copy is no more. What that proves is in `doubt`.
     fn gone(&mut self, launch: Launch, seen: Seen, outcome: Outcome, why: i64, acts: &mut Vec<Act<K>>) {
         let Some(key) = self.launches.remove(&launch) else { return };
+        acts.push(Act::Over { launch });
         let now = self.now;
         let record = self.records.get_mut(&key).expect("a launch has a record");
         let at = record.copies.iter().position(|c| c.launch == launch).expect("a known launch is a copy");
--- a/ledger/tests/every_state.rs
+++ b/ledger/tests/every_state.rs
@@ -7,7 +7,7 @@
     Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Phase, PROMISES,
 };
 use pathfinding::prelude::bfs_reach;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 const MACHINES: usize = 2;
 /// The bounds within which every state is visited: links cut, launches made, askings.
@@ -57,6 +57,8 @@
     ledger: Ledger<u8, ()>,
     far: [Far; MACHINES],
     module: Module,
+    /// Copies that count, by the ledger's word.
+    counted: BTreeSet<Launch>,
     /// Copies that ran to their end, or run, by what the machines did.
     starts: u8,
     answers: u8,
@@ -76,6 +78,7 @@
             ledger: Ledger::new(1, 0, PROMISES),
             far: Default::default(),
             module: Module::None,
+            counted: BTreeSet::new(),
             starts: 0,
             answers: 0,
             asks: 0,
@@ -151,9 +154,24 @@
                     }
                 }
                 Act::Life { .. } => {}
+                Act::Began { launch, .. } => {
+                    if !self.counted.insert(launch) {
+                        self.wrong = Some("a copy that began twice");
+                    }
+                }
+                Act::Over { launch } => {
+                    if !self.counted.remove(&launch) {
+                        self.wrong = Some("a copy that was over and had not begun");
+                    }
+                }
             }
         }
         self.ledger.settled();
+        let copies: BTreeSet<Launch> =
+            self.ledger.record(&0).into_iter().flat_map(|r| &r.copies).map(|c| c.launch).collect();
+        if copies != self.counted {
+            self.wrong = Some("copies that count are others than those of the record");
+        }
     }
 
     fn send(&mut self, m: usize, frame: Down) {
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -2,6 +2,7 @@
 //! module with the ledger in its hands, knows peers by small indices, and decides nothing itself: the module
 //! places, the ledger says what an answer means, `standing` whether a machine is offered work, `dial` when
 //! to connect. Times are whole microseconds.
+use crate::bounds::{Bounds, Stands};
 use crate::hands::{Due, Hands, Job, Key, Wish};
 use crate::recording::Recorder;
 use crate::standing::{Link, Standing};
@@ -12,6 +13,8 @@
 use basaltpitch::logic::Planner;
 use basaltpitch_agent::dial::{Dials, Pace};
 use basaltpitch_agent::wire::{self, Body};
+use basaltpitch_clauses::deciding::State;
+use basaltpitch_clauses::{Clause, Machine as Place, Task as Facts};
 use basaltpitch_indices::{number_of, Lodgers};
 use basaltpitch_ledger::{
     Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Promises, Reason, PROMISES,
@@ -75,6 +78,7 @@
 
 struct Machine {
     address: Rc<str>,
+    labels: Vec<String>,
     standing: Standing,
     link: u64,
     held: bool,
@@ -88,8 +92,10 @@
     tenancy: Tenancy,
     /// On whose behalf each connection asks.
     logins: HashMap<u64, Rc<str>>,
-    /// An asking that was declined at the door, and how old that was which the refusal rests on.
-    at_door: Option<(u64, i64)>,
+    /// An asking that is declined at the door.
+    at_door: Option<AtDoor>,
+    /// Where each clause stands, in words for answers.
+    clauses: Vec<String>,
     machines: Lodgers<Rc<str>>,
     known: Vec<Option<Machine>>,
     services: Lodgers<u64>,
@@ -121,6 +127,13 @@
     pub lost: u64,
 }
 
+/// An asking that is declined at the door: how old that is which the refusal rests on, and more words for it.
+struct AtDoor {
+    ask: u64,
+    stale_us: i64,
+    words: Option<String>,
+}
+
 /// Names of the installation and their indices.
 struct Names {
     frameworks: Vec<(String, Kind)>,
@@ -182,6 +195,7 @@
             tenancy,
             logins: HashMap::new(),
             at_door: None,
+            clauses: Vec::new(),
             machines: Lodgers::default(),
             known: Vec::new(),
             services: Lodgers::default(),
@@ -243,6 +257,54 @@
         }
     }
 
+    // Clauses.
+
+    /// From now on clauses bind, with a name and place of each for answers. To be called before anything else comes.
+    pub fn bind(&mut self, clauses: Vec<Clause>, places: Vec<String>) {
+        self.clauses = places;
+        if !clauses.is_empty() {
+            self.placing.host.bounds = Some(Bounds::new(clauses));
+        }
+    }
+
+    /// What clauses see of a task.
+    fn facts(&self, framework: usize, tenant: Option<usize>, service: u64, key: &str) -> Option<Rc<Facts>> {
+        self.placing.host.bounds.as_ref()?;
+        let tenant = tenant.map(|t| self.tenancy.called(t).0).unwrap_or_default();
+        let framework = self.names.frameworks[framework].0.clone();
+        Some(Rc::new(Facts { framework, tenant, service, key: key.to_owned() }))
+    }
+
+    fn clause_names(&self, clauses: &[usize]) -> String {
+        let names: Vec<&str> = clauses.iter().map(|&c| self.clauses[c].as_str()).collect();
+        names.join(", ")
+    }
+
+    /// Why no machine could ever take a task, if none could.
+    fn never(&mut self, facts: Option<&Rc<Facts>>) -> Option<String> {
+        match self.placing.host.bounds.as_mut()?.stands(facts?) {
+            Stands::Never { clauses, smallest } => {
+                let names = self.clause_names(&clauses);
+                let more = if smallest { "" } else { "; not found smaller" };
+                Some(format!("no machine that is known could ever meet together: {names}{more}"))
+            }
+            _ => None,
+        }
+    }
+
+    /// The clauses that keep a task out everywhere now, if clauses do.
+    fn kept_out(&mut self, facts: &Rc<Facts>) -> Option<String> {
+        let bounds = self.placing.host.bounds.as_mut()?;
+        let Stands::KeptOut = bounds.stands(facts) else { return None };
+        let g = bounds.deciding.enter(facts);
+        let known: Vec<usize> = bounds.deciding.fleet().map(|x| x.0).collect();
+        let mut clauses: Vec<usize> = known.iter().flat_map(|&m| bounds.deciding.forbidding(g, m)).collect();
+        bounds.deciding.leave(g);
+        clauses.sort_unstable();
+        clauses.dedup();
+        Some(format!("kept out by what runs, under: {}", self.clause_names(&clauses)))
+    }
+
     // The directory of tenants.
 
     /// From now on tenants are learnt from a directory. To be called before anything else comes.
@@ -386,6 +448,7 @@
                 if let Some(machine) = self.known[m].as_mut() {
                     machine.standing.listed = None;
                     machine.standing.told = Some(Readiness::Gone);
+                    self.bound_machine(m, Readiness::Gone);
                     self.off_list(m);
                 }
             }
@@ -402,10 +465,16 @@
             self.known.resize_with(m + 1, || None);
         }
         let address: Rc<str> = e.address.as_str().into();
-        let new =
-            || Machine { address: address.clone(), standing: Standing::default(), link: 0, held: false };
+        let new = || Machine {
+            address: address.clone(),
+            labels: Vec::new(),
+            standing: Standing::default(),
+            link: 0,
+            held: false,
+        };
         let machine = self.known[m].get_or_insert_with(new);
         machine.address = address;
+        machine.labels = e.labels;
         let zone = place(&self.names.zones, &e.zone).unwrap_or(0);
         let kind = place(&self.names.kinds, &e.kind).unwrap_or(0);
         machine.standing.place = (kind, zone, e.cell as usize);
@@ -458,10 +527,29 @@
         let ready = machine.standing.readiness();
         machine.standing.told = Some(ready);
         let (at, left, started) = (machine.standing.place, machine.standing.left, machine.standing.started);
+        self.bound_machine(m, ready);
         let number = number_of(self.machines.door.id(m));
         self.tell(Told::Machine { m, number, at, ready: ready_number(ready), started, left });
     }
 
+    /// Clauses hear of a machine before the module does.
+    fn bound_machine(&mut self, m: usize, ready: Readiness) {
+        let (Some(machine), Some(bounds)) = (&self.known[m], &mut self.placing.host.bounds) else { return };
+        let (kind, zone, cell) = machine.standing.place;
+        let facts = Place {
+            kind: self.names.kinds[kind].clone(),
+            hall: self.names.zones[zone].clone(),
+            rack: cell as u32,
+            labels: machine.labels.clone(),
+        };
+        let state = match ready {
+            Readiness::Ready => State::Ready,
+            Readiness::Draining => State::Down,
+            Readiness::Gone => State::Gone,
+        };
+        bounds.machine(m, facts, state);
+    }
+
     /// Something of a machine's standing changed: the module hears it if that makes a difference to it.
     fn stands_anew(&mut self, m: usize) {
         let changed = self.known[m].as_ref().is_some_and(|x| x.standing.told != Some(x.standing.readiness()));
@@ -622,10 +710,12 @@
             let framework = framework.ok_or_else(|| {
                 format!("inventory: framework: found {:?}; expected a known one", l.framework)
             })?;
+            let tenant = self.tenancy.of_launch(&l.tenant, &l.tenant_id);
             let job = Job {
                 framework,
-                tenant: self.tenancy.of_launch(&l.tenant, &l.tenant_id),
+                tenant,
                 stale_us: 0,
+                facts: self.facts(framework, tenant, l.service, &l.key),
                 service: l.service,
                 cores: l.cores,
                 memory: l.memory,
@@ -743,14 +833,17 @@
         let kind = self.names.frameworks[framework].1;
         let (cores, memory, runs_for_us) = (s.cores, s.memory, s.runs_for_us);
         let Asked { tenant, stale_us, refused } = asked;
-        let job = Job { framework, tenant, service: s.service, cores, memory, runs_for_us, stale_us };
+        let facts = self.facts(framework, tenant, s.service, &s.key);
+        let words = if refused.is_none() { self.never(facts.as_ref()) } else { None };
+        let refused = refused.or(words.as_ref().map(|_| (Reason::NoMachine, 0)));
+        let job = Job { framework, tenant, service: s.service, cores, memory, runs_for_us, stale_us, facts };
         let asking = Asking { key: s.key.as_str().into(), ask: s.ask, owner: conn, kind, job };
         let host = &mut self.placing.host;
         match refused {
             None => host.on_ledger(|l, acts| l.submit(asking, s.time_left_us, acts)),
             Some(why) => {
-                self.at_door = Some((s.ask, stale_us));
-                host.on_ledger(|l, acts| l.not_allowed(asking, why, acts));
+                self.at_door = Some(AtDoor { ask: s.ask, stale_us, words });
+                host.on_ledger(|l, acts| l.declined_at_door(asking, why, acts));
                 self.settle();
                 self.at_door = None;
             }
@@ -761,10 +854,10 @@
 
     fn tell(&mut self, told: Told) {
         let now = self.now();
+        told.tell(&mut self.placing).expect("numbers that this code wrote itself");
         if let Some(recorder) = &mut self.recorder {
-            recorder.told(now, &told);
+            recorder.told(now, &told, self.placing.host.take_answers());
         }
-        told.tell(&mut self.placing).expect("numbers that this code wrote itself");
         if let (Some(recorder), Some(calls)) = (&mut self.recorder, &mut self.placing.host.calls) {
             recorder.calls(calls);
         }
@@ -784,6 +877,9 @@
         let now = self.now();
         for task in self.placing.host.ledger.settled() {
             self.services.release(self.service_of[task], now);
+            if let Some(bounds) = &mut self.placing.host.bounds {
+                bounds.leave(task);
+            }
         }
     }
 
@@ -793,6 +889,9 @@
         let ledger = &self.placing.host.ledger;
         let job = ledger.record(ledger.key_of(task)?)?.job.clone();
         let s = self.services.hold(job.service, now);
+        if let (Some(bounds), Some(facts)) = (&mut self.placing.host.bounds, &job.facts) {
+            bounds.enter(task, facts);
+        }
         if task >= self.service_of.len() {
             self.service_of.resize(task + 1, 0);
         }
@@ -833,6 +932,8 @@
                 self.send_machine(machine, Body::Noted(wire::Noted { id: wire_id(launch) }))
             }
             Act::Answer { key, ask, owner, answer } => self.answer(key, ask, owner, answer),
+            // Counted by the hands when they heard of it.
+            Act::Began { .. } | Act::Over { .. } => {}
             Act::Life { key, ask, owner, how } => {
                 self.counts.lost += u64::from(how == Life::Lost);
                 let how = match how {
@@ -904,9 +1005,19 @@
                 self.counts.declined += 1;
                 a.kind = wire::AnswerKind::Declined as i32;
                 (a.retry_after_us, a.reason) = (retry_after_us, reason.words().to_owned());
-                if let Reason::NotAllowed(_) = reason {
-                    a.not_allowed = true;
-                    a.stale_us = self.at_door.filter(|d| d.0 == ask).map_or(a.stale_us, |d| d.1);
+                a.not_allowed = matches!(reason, Reason::NotAllowed(_));
+                match (reason, self.at_door.as_mut().filter(|d| d.ask == ask)) {
+                    (Reason::NotAllowed(_) | Reason::NoMachine, Some(door)) => {
+                        a.stale_us = door.stale_us;
+                        a.reason = door.words.take().unwrap_or(a.reason);
+                    }
+                    (Reason::NoRoom, _) => {
+                        let facts = self.placing.host.ledger.record(&key).and_then(|r| r.job.facts.clone());
+                        if let Some(why) = facts.and_then(|f| self.kept_out(&f)) {
+                            a.reason = format!("{}; {why}", a.reason);
+                        }
+                    }
+                    _ => {}
                 }
             }
             Answer::Aborted { reason } => {
--- a/planner/src/hands.rs
+++ b/planner/src/hands.rs
@@ -1,7 +1,10 @@
 //! The placing module's hands: each of its calls goes into the ledger or becomes a wish of the planner's.
+use crate::bounds::Bounds;
 use basaltpitch::host::Host;
+use basaltpitch_clauses::Task;
 use basaltpitch_ledger::{Act, Launch, Ledger};
 use basaltpitch_timers::Wheel;
+use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt::Write as _;
 use std::rc::Rc;
@@ -19,6 +22,8 @@
     pub runs_for_us: i64,
     /// How old what was known of tenants was when it was asked for; see `Answer.stale_us`.
     pub stale_us: i64,
+    /// What clauses see of it, where the installation has clauses.
+    pub facts: Option<Rc<Task>>,
 }
 
 /// What a timer is for.
@@ -49,9 +54,27 @@
     pub timers: Wheel<Due>,
     /// The module's calls as text, where they are recorded.
     pub calls: Option<Words>,
+    /// The installation's clauses, where it has any.
+    pub bounds: Option<Bounds>,
+    /// What the module asked of clauses, where its calls are recorded; see `recording`.
+    answers: RefCell<Answers>,
     buffer: Vec<Act<Key>>,
 }
 
+/// Answers to the module's questions about clauses, in their order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Answers {
+    pub allows: Vec<bool>,
+    pub wishes: Vec<u64>,
+    pub alike: Vec<usize>,
+}
+
+impl Answers {
+    pub fn is_empty(&self) -> bool {
+        self.allows.is_empty() && self.wishes.is_empty() && self.alike.is_empty()
+    }
+}
+
 impl Hands {
     pub fn new(now: i64, ledger: Ledger<Key, Job>, records: bool) -> Self {
         Hands {
@@ -61,6 +84,8 @@
             wishes: VecDeque::new(),
             timers: Wheel::new(now),
             calls: records.then(Words::default),
+            bounds: None,
+            answers: RefCell::default(),
             buffer: Vec::new(),
         }
     }
@@ -69,7 +94,30 @@
     pub fn on_ledger<R>(&mut self, ask: impl FnOnce(&mut Ledger<Key, Job>, &mut Vec<Act<Key>>) -> R) -> R {
         self.ledger.clock(self.now);
         let answer = ask(&mut self.ledger, &mut self.buffer);
-        self.acts.extend(self.buffer.drain(..));
+        for act in self.buffer.drain(..) {
+            match (act, &mut self.bounds) {
+                // Counted at once: the module may send the next task before this one's act is carried out.
+                (Act::Began { launch, machine, key }, Some(bounds)) => {
+                    let facts = self.ledger.record(&key).and_then(|r| r.job.facts.clone());
+                    facts.into_iter().for_each(|facts| bounds.began(launch, machine, &facts));
+                }
+                (Act::Over { launch }, Some(bounds)) => bounds.over(launch),
+                (Act::Began { .. } | Act::Over { .. }, None) => {}
+                (act, _) => self.acts.push_back(act),
+            }
+        }
+        answer
+    }
+
+    /// What the module asked of clauses since this was last taken.
+    pub fn take_answers(&mut self) -> Answers {
+        self.answers.take()
+    }
+
+    fn noted<T: Copy>(&self, answer: T, to: impl FnOnce(&mut Answers) -> &mut Vec<T>) -> T {
+        if self.calls.is_some() && self.bounds.is_some() {
+            to(&mut self.answers.borrow_mut()).push(answer);
+        }
         answer
     }
 
@@ -82,38 +130,66 @@
 
 /// How each call of the module is written in a recording, a line each.
 #[derive(Default)]
-pub struct Words(pub String);
+pub struct Words {
+    pub text: String,
+    /// What was answered when this was recorded, for a replay.
+    pub answers: RefCell<Replay>,
+}
+
+/// Recorded answers that a replay gives again.
+#[derive(Default)]
+pub struct Replay {
+    allows: VecDeque<bool>,
+    wishes: VecDeque<u64>,
+    alike: VecDeque<usize>,
+}
+
+impl Replay {
+    pub fn of(answers: Answers) -> Self {
+        let Answers { allows, wishes, alike } = answers;
+        Replay { allows: allows.into(), wishes: wishes.into(), alike: alike.into() }
+    }
+}
 
 impl Host for Words {
     fn launch(&mut self, task: usize, machine: usize, time_out_us: i64) {
-        let _ = writeln!(self.0, "> launch {task} on {machine} for {time_out_us}");
+        let _ = writeln!(self.text, "> launch {task} on {machine} for {time_out_us}");
     }
     fn cancel(&mut self, task: usize, launch: u32) {
-        let _ = writeln!(self.0, "> cancel {task} launch {launch}");
+        let _ = writeln!(self.text, "> cancel {task} launch {launch}");
     }
     fn decline(&mut self, task: usize, retry_after_us: i64) {
-        let _ = writeln!(self.0, "> decline {task} after {retry_after_us}");
+        let _ = writeln!(self.text, "> decline {task} after {retry_after_us}");
     }
     fn abort(&mut self, task: usize) {
-        let _ = writeln!(self.0, "> abort {task}");
+        let _ = writeln!(self.text, "> abort {task}");
     }
     fn move_task(&mut self, task: usize) {
-        let _ = writeln!(self.0, "> move {task}");
+        let _ = writeln!(self.text, "> move {task}");
     }
     fn probe(&mut self, machine: usize) {
-        let _ = writeln!(self.0, "> probe {machine}");
+        let _ = writeln!(self.text, "> probe {machine}");
     }
     fn watch(&mut self, on: bool) {
-        let _ = writeln!(self.0, "> watch {on}");
+        let _ = writeln!(self.text, "> watch {on}");
     }
     fn fetch(&mut self) {
-        let _ = writeln!(self.0, "> fetch");
+        let _ = writeln!(self.text, "> fetch");
     }
     fn timer(&mut self, after_us: i64, token: u64) {
-        let _ = writeln!(self.0, "> timer {token} after {after_us}");
+        let _ = writeln!(self.text, "> timer {token} after {after_us}");
     }
     fn log(&mut self, text: &str) {
-        let _ = writeln!(self.0, "> log {text:?}");
+        let _ = writeln!(self.text, "> log {text:?}");
+    }
+    fn allows(&self, _: usize, _: usize) -> bool {
+        self.answers.borrow_mut().allows.pop_front().unwrap_or(true)
+    }
+    fn wishes(&self, _: usize, _: usize) -> u64 {
+        self.answers.borrow_mut().wishes.pop_front().unwrap_or(0)
+    }
+    fn bound_alike(&self, _: usize) -> usize {
+        self.answers.borrow_mut().alike.pop_front().unwrap_or(0)
     }
 }
 
@@ -158,4 +234,19 @@
         self.call(|words| words.log(text));
         tracing::info!(text, "the placing module");
     }
+    fn allows(&self, task: usize, machine: usize) -> bool {
+        let Some(bounds) = &self.bounds else { return true };
+        let allows = bounds.group(task).is_none_or(|g| bounds.deciding.allows(g, machine));
+        self.noted(allows, |a| &mut a.allows)
+    }
+    fn wishes(&self, task: usize, machine: usize) -> u64 {
+        let Some(bounds) = &self.bounds else { return 0 };
+        let wishes = bounds.group(task).map_or(0, |g| bounds.deciding.wishes(g, machine));
+        self.noted(wishes, |a| &mut a.wishes)
+    }
+    fn bound_alike(&self, task: usize) -> usize {
+        let Some(bounds) = &self.bounds else { return 0 };
+        let alike = bounds.group(task).unwrap_or(0);
+        self.noted(alike, |a| &mut a.alike)
+    }
 }
--- a/planner/src/recording.rs
+++ b/planner/src/recording.rs
@@ -5,10 +5,11 @@
 //! {"seed":7,"now":10,"given":{...}}         how the module was started
 //! > watch true                               a call
 //! {"at":20,"told":{"timer":{"token":0}}}     what it was told, and when
+//! {"at":20,"told":{..},"answers":{"allows":"110","wishes":[],"alike":[]}}   and what clauses answered meanwhile
 //! ```
 //!
 //! `replay` tells a new module the same and compares its calls, line by line.
-use crate::hands::Words;
+use crate::hands::{Answers, Replay, Words};
 use crate::told::Told;
 use basaltpitch::host::{Given, Value};
 use basaltpitch::logic::Planner;
@@ -39,6 +40,29 @@
 struct Line {
     at: i64,
     told: Told,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    answers: Option<Said>,
+}
+
+/// What clauses answered to the module, in the order of its questions.
+#[derive(Serialize, Deserialize)]
+struct Said {
+    allows: String,
+    wishes: Vec<u64>,
+    alike: Vec<usize>,
+}
+
+impl From<Answers> for Said {
+    fn from(a: Answers) -> Said {
+        let allows = a.allows.into_iter().map(|x| if x { '1' } else { '0' }).collect();
+        Said { allows, wishes: a.wishes, alike: a.alike }
+    }
+}
+
+impl From<Said> for Answers {
+    fn from(s: Said) -> Answers {
+        Answers { allows: s.allows.chars().map(|c| c == '1').collect(), wishes: s.wishes, alike: s.alike }
+    }
 }
 
 /// Writes a recording beside the planner's thread. When the disk is full or too slow the recording ends with one
@@ -74,10 +98,12 @@
         Recorder { pieces: Some(pieces), piece: String::new() }
     }
 
-    /// What the module is about to be told.
-    pub fn told(&mut self, at: i64, told: &Told) {
+    /// What the module was told, and what clauses answered it meanwhile. Its calls follow.
+    pub fn told(&mut self, at: i64, told: &Told, answers: Answers) {
         if self.pieces.is_some() {
-            let line = serde_json::to_string(&Line { at, told: told.clone() }).expect("plain values");
+            let answers = (!answers.is_empty()).then(|| answers.into());
+            let line =
+                serde_json::to_string(&Line { at, told: told.clone(), answers }).expect("plain values");
             self.piece.push_str(&line);
             self.piece.push('\n');
         }
@@ -85,8 +111,8 @@
 
     /// The calls that the module made since.
     pub fn calls(&mut self, calls: &mut Words) {
-        self.piece.push_str(&calls.0);
-        calls.0.clear();
+        self.piece.push_str(&calls.text);
+        calls.text.clear();
         if self.piece.len() >= 16 * 1024 {
             self.flush();
         }
@@ -130,10 +156,11 @@
     let mut planner = begin(&start)?;
     let told: Vec<Line> = lines.filter_map(|l| serde_json::from_str(&l).ok()).collect();
     let began = std::time::Instant::now();
-    for line in &told {
+    for line in told {
         planner.clock(line.at);
+        planner.host.answers.replace(Replay::of(line.answers.map_or_else(Answers::default, Answers::from)));
         line.told.tell(&mut planner)?;
-        planner.host.0.clear();
+        planner.host.text.clear();
     }
     Ok(began.elapsed())
 }
@@ -169,7 +196,7 @@
     let mut planner = begin(&start)?;
     let (mut told, mut calls) = (0, 0);
     let mut due: std::collections::VecDeque<String> =
-        std::mem::take(&mut planner.host.0).lines().map(str::to_owned).collect();
+        std::mem::take(&mut planner.host.text).lines().map(str::to_owned).collect();
     while let Some((n, line)) = lines.next() {
         let line = line.map_err(|e| format!("line {n}: {e}"))?;
         if line.starts_with("> ") {
@@ -195,9 +222,10 @@
             }
         };
         planner.clock(parsed.at);
+        planner.host.answers.replace(Replay::of(parsed.answers.map_or_else(Answers::default, Answers::from)));
         parsed.told.tell(&mut planner).map_err(|e| format!("line {n}: found {e}"))?;
         told += 1;
-        due.extend(std::mem::take(&mut planner.host.0).lines().map(str::to_owned));
+        due.extend(std::mem::take(&mut planner.host.text).lines().map(str::to_owned));
     }
     Ok(Replayed::Same { told, calls })
 }
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -7,6 +7,7 @@
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Party};
 use basaltpitch_agent::wire::{Body, Role};
+use basaltpitch_clauses::Clause;
 use basaltpitch_directory::{Before, Directory, Fault, Seen, Swept};
 use basaltpitch_store::Store;
 use basaltpitch_tenants::keeper::FORMAT;
@@ -42,6 +43,8 @@
     pub given: Given,
     /// Where the decisions are recorded.
     pub record: Option<Box<dyn io::Write + Send>>,
+    /// Where tasks may run, and where each clause stands, in words.
+    pub clauses: Vec<(Clause, String)>,
     /// Where tenants are learnt from.
     pub directory: Option<Directory>,
     /// What outlives this planner.
@@ -160,7 +163,7 @@
 }
 
 async fn actor(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
-    let Start { who, given, record, directory, store } = start;
+    let Start { who, given, record, clauses, directory, store } = start;
     let clock = Clock::start();
     let me = Party {
         role: Role::Planner,
@@ -175,6 +178,8 @@
     let (news, mut heard) = mpsc::channel(16);
     let seed = who.seed;
     let mut core = Core::new(who, given, clock.now(), record);
+    let (clauses, places) = clauses.into_iter().unzip();
+    core.bind(clauses, places);
     let sweeps = directory.map(|directory| {
         core.learn(clock.now(), learnt(seed, clock.now(), &directory, store.as_ref()));
         let seen = vec![Seen::default(); directory.source.urls.len()];
--- a/planner/src/tenancy.rs
+++ b/planner/src/tenancy.rs
@@ -1,6 +1,7 @@
 //! What a planner knows of tenants: a list in its settings, or what it learns from a directory. No I/O: it says when
 //! which server is to be swept and what is to be remembered, and finds for each asking whether it may go on and on what
 //! that rests. What is believed, how fresh it is and who may do what is decided in the package `tenants`.
+use basaltpitch_ledger::Reason;
 use basaltpitch_tenants::health::{Pace, State};
 use basaltpitch_tenants::keeper::Keeper;
 use basaltpitch_tenants::rights::{Asks, Ruling, Terms, Why};
@@ -53,7 +54,7 @@
     pub tenant: Option<usize>,
     pub stale_us: i64,
     /// Why not, and after what time it is worth asking again.
-    pub refused: Option<(&'static str, i64)>,
+    pub refused: Option<(Reason, i64)>,
 }
 
 impl Learnt {
@@ -178,8 +179,8 @@
         self.keeper.rule(now, &self.ways.terms, login, asks)
     }
 
-    fn refusal(&self, now: i64, ruling: Ruling) -> Option<(&'static str, i64)> {
-        (!ruling.may).then(|| (ruling.why.words(), self.keeper.retry_after_us(now)))
+    fn refusal(&self, now: i64, ruling: Ruling) -> Option<(Reason, i64)> {
+        (!ruling.may).then(|| (Reason::NotAllowed(ruling.why.words()), self.keeper.retry_after_us(now)))
     }
 
     /// A question that the directory answers.
--- a/planner/tests/net/mod.rs
+++ b/planner/tests/net/mod.rs
@@ -80,6 +80,8 @@
     pub draining: bool,
     pub refuses: bool,
     pub reachable: bool,
+    pub cell: u32,
+    pub labels: Vec<String>,
     pub links: BTreeMap<u64, Wire>,
 }
 
@@ -118,6 +120,14 @@
 
 impl Net {
     pub fn new(machines: usize) -> Self {
+        let mut net = Net::bare(machines);
+        net.list(true);
+        net.flow(40);
+        net
+    }
+
+    /// Nothing has been listed yet.
+    pub fn bare(machines: usize) -> Self {
         let now = 100_000_000;
         let of = |m: usize| Mac {
             name: format!("m{m}"),
@@ -129,6 +139,8 @@
             draining: false,
             refuses: false,
             reachable: true,
+            cell: 0,
+            labels: Vec::new(),
             links: BTreeMap::new(),
         };
         let mut net = Net {
@@ -156,8 +168,6 @@
             net.auditor.machine_is(&m.name, spot);
         }
         net.carry();
-        net.list(true);
-        net.flow(40);
         net
     }
 
@@ -176,11 +186,12 @@
             address: m.name.clone(),
             kind: "std".into(),
             zone: ["hall-a", "hall-b"][m.zone].into(),
-            cell: 0,
+            cell: m.cell,
             readiness: if m.draining { Readiness::Draining } else { Readiness::Ready } as i32,
             started_us: m.started,
             cores_left: 0.0,
             memory_left: 0.0,
+            labels: m.labels.clone(),
         };
         let list = wire::List { whole, stamp: 0, entries: self.machines.iter().map(entry).collect() };
         self.auditor.register_sent(self.now, &self.life(), &list);
--- a/src/host.rs
+++ b/src/host.rs
@@ -88,4 +88,16 @@
     fn fetch(&mut self);
     fn timer(&mut self, after_us: i64, token: u64);
     fn log(&mut self, text: &str);
+    /// Whether clauses of the installation let the task go to the machine now.
+    fn allows(&self, _task: usize, _machine: usize) -> bool {
+        true
+    }
+    /// How well its wishes are met there; more is better. Asked for machines that fit and suit equally well.
+    fn wishes(&self, _task: usize, _machine: usize) -> u64 {
+        0
+    }
+    /// Tasks of one framework with the same number are bound alike: where one cannot go, no larger one can.
+    fn bound_alike(&self, _task: usize) -> usize {
+        0
+    }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! The planner acts by calling the host at once. The interface is in `host.rs`, the why in `docs/design.md`.
 #![allow(clippy::too_many_arguments)]
 use crate::host::{number, text, Belief, Given, Host, Outcome, Place, Readiness, Room, Value};
+use std::collections::BTreeMap;
 
 /// Confidence 99%: the standard normal quantile (the paper's D; DESIGN runs 99.9% and 99%).
 const D: f64 = 2.326;
@@ -400,6 +401,10 @@
         fits.truncate(HOMES);
         let best = fits.iter().map(|x| x.2).max().unwrap_or(0);
         fits.retain(|x| x.2 == best);
+        let wishes: Vec<u64> = fits.iter().map(|x| self.host.wishes(task, x.0)).collect();
+        let most = wishes.iter().copied().max().unwrap_or(0);
+        let mut wished = wishes.iter().map(|&w| w == most);
+        fits.retain(|_| wished.next() == Some(true));
         let fullest = fits.iter().map(|x| x.1).fold(f64::MIN, f64::max);
         fits.retain(|x| x.1 >= fullest - TIE);
         let m = if !fits.is_empty() {
@@ -431,7 +436,7 @@
         let (f, s) = (t.framework, t.service);
         let kind = self.frameworks[f].kind;
         let wrong_kind = kind >= 0.0 && kind as usize != self.mac.place[m].0;
-        if wrong_kind || !self.group_allows(task, m) {
+        if wrong_kind || !self.host.allows(task, m) || !self.group_allows(task, m) {
             return false;
         }
         if self.now < self.mac.shun_until[m] || t.tried.contains(&m) {
@@ -621,13 +626,18 @@
         let value = |o: usize| self.frameworks[self.tasks[o].framework].value;
         let stamp = |o: usize| self.tasks[o].stamp;
         line.sort_by(|&a, &b| value(b).total_cmp(&value(a)).then(stamp(a).cmp(&stamp(b))));
-        let mut least = vec![f64::MAX; self.frameworks.len()];
+        let mut least = BTreeMap::new();
         for task in line {
             let (f, cores) = (self.tasks[task].framework, self.tasks[task].cores);
             if self.too_late(task) {
                 self.give_up(task);
-            } else if cores >= least[f] || !self.place(task) {
-                least[f] = least[f].min(cores);
+                continue;
+            }
+            // Where one could not go, a larger one that is bound alike cannot.
+            let alike = (f, self.host.bound_alike(task));
+            let smallest: &mut f64 = least.entry(alike).or_insert(f64::MAX);
+            if cores >= *smallest || !self.place(task) {
+                *smallest = smallest.min(cores);
                 self.waiting.push(task);
             }
         }
