--- a/audit/src/lib.rs
+++ b/audit/src/lib.rs
@@ -1,6 +1,9 @@
 //! The auditor: judges the five rules from the traffic that machines, the register and owners saw, never from a
 //! planner's own words. It shares no rule code with the planner. Times are whole microseconds of one clock, that of
 //! the process in which all stand-ins live; a frame counts from when its last byte was read, or written.
+pub mod laws;
+
+use crate::laws::{Law, Standing};
 use basaltpitch_agent::wire::{AnswerKind, Body, Launch, List, Readiness, Submit};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -38,6 +41,8 @@
 pub struct Spot {
     pub zone: String,
     pub cell: u32,
+    pub kind: String,
+    pub labels: Vec<String>,
 }
 
 /// A rule that was not kept: which task, when, and the frames that show it.
@@ -91,13 +96,19 @@
     end: Option<(i64, End)>,
     said_yes: bool,
     over: bool,
+    over_at: i64,
     number: u64,
 }
 
 type AskId = (Life, String, u64);
 
+/// One that must be with others counts those that stood so long ago.
+const STOOD_JUST_NOW: i64 = 2_000_000;
+
 pub struct Auditor {
     terms: Terms,
+    laws: Vec<Law>,
+    tasks: HashMap<(Life, u64), Launch>,
     asks: BTreeMap<AskId, Ask>,
     launches: BTreeMap<AskId, Vec<Sent>>,
     by_id: HashMap<(Life, u64), AskId>,
@@ -121,6 +132,8 @@
     pub fn new(terms: Terms) -> Self {
         Auditor {
             terms,
+            laws: Vec::new(),
+            tasks: HashMap::new(),
             asks: BTreeMap::new(),
             launches: BTreeMap::new(),
             by_id: HashMap::new(),
@@ -143,6 +156,11 @@
         self.breaches.push(Breach { rule, at, planner, about: about.to_owned(), what });
     }
 
+    /// Clauses to be judged, as rule 6.
+    pub fn judge_by(&mut self, laws: Vec<Law>) {
+        self.laws = laws;
+    }
+
     // Facts.
 
     pub fn machine_is(&mut self, machine: &str, spot: Spot) {
@@ -298,16 +316,16 @@
                     if !s.said_yes {
                         s.end = s.end.map(|e| (e.0, End::NeverRan));
                     }
-                    s.over = true;
+                    (s.over, s.over_at) = (true, at);
                 });
             }
             Body::Failed(x) => self.at_launch(life, x.id, |s| {
                 s.end = s.end.or(Some((at, End::MayHaveRun)));
-                s.over = true;
+                (s.over, s.over_at) = (true, at);
             }),
             Body::Ended(x) => self.at_launch(life, x.id, |s| {
                 s.end = s.end.or(Some((at, End::MayHaveRun)));
-                s.over = true;
+                (s.over, s.over_at) = (true, at);
             }),
             _ => {}
         }
@@ -360,6 +378,7 @@
         self.judge_drain(at, machine, life, l, late);
         self.judge_cold(at, machine, life);
         self.judge_spread(at, machine, life, l);
+        self.judge_laws(at, machine, life, l);
         let all = self.launches.entry(ask.clone()).or_default();
         all.push(Sent {
             at,
@@ -369,6 +388,7 @@
             end: None,
             said_yes: false,
             over: false,
+            over_at: 0,
             number: id.number,
         });
         let number = all.len() - 1;
@@ -442,6 +462,40 @@
         }
     }
 
+    /// Clauses, by what stands of this planner's tasks now. One that must be with others may have been sent while they
+    /// still stood.
+    fn judge_laws(&mut self, at: i64, machine: &str, life: &Life, l: &Launch) {
+        if self.laws.is_empty() {
+            return;
+        }
+        let nowhere = Spot::default();
+        let spot = self.spots.get(machine).unwrap_or(&nowhere);
+        let mine = self.launches.iter().filter(|(id, _)| id.0 == *life).flat_map(|(_, all)| all);
+        let standing = |s: &'_ Sent| {
+            let stands = !s.over && (s.said_yes || (s.end.is_none() && at < s.at + s.time_out));
+            stands || (s.over && at < s.over_at + STOOD_JUST_NOW)
+        };
+        let all: Vec<Standing> = mine
+            .filter(|s| standing(s))
+            .filter_map(|s| {
+                let task = self.tasks.get(&(life.clone(), s.number))?;
+                let spot = self.spots.get(&s.machine).unwrap_or(&nowhere);
+                Some(Standing { task, machine: &s.machine, spot, stands: !s.over })
+            })
+            .collect();
+        let broken: Vec<String> = self
+            .laws
+            .iter()
+            .filter_map(|law| Some(format!("clause {}: {}", law.name, law.broken(l, machine, spot, &all)?)))
+            .collect();
+        for what in broken {
+            self.breach(6, at, life, &l.key, format!("launched on {machine}: {what}"));
+        }
+        if let Some(id) = l.id {
+            self.tasks.insert((life.clone(), id.number), l.clone());
+        }
+    }
+
     /// The day is over: what can only be judged from the whole is judged now.
     pub fn finish(mut self, now: i64) -> (Vec<Breach>, Tally) {
         let asks = std::mem::take(&mut self.asks);
--- a/audit/tests/forged.rs
+++ b/audit/tests/forged.rs
@@ -31,7 +31,7 @@
     };
     let mut a = Auditor::new(terms);
     for (machine, zone) in [("m0", "a"), ("m1", "b"), ("m2", "a")] {
-        a.machine_is(machine, Spot { zone: zone.into(), cell: 1 });
+        a.machine_is(machine, Spot { zone: zone.into(), cell: 1, ..Spot::default() });
     }
     a
 }
--- a/clauses/src/deciding.rs
+++ b/clauses/src/deciding.rs
@@ -14,8 +14,10 @@
 pub enum State {
     /// Takes work.
     Ready,
-    /// Known, and takes none now: drains, or its link is not well.
+    /// Known, and takes none now: it drains.
     Down,
+    /// Its link is not well: what is there counts against others, and not as company.
+    Far,
     /// Not listed any more; what ran there may still be counted.
     Gone,
 }
@@ -26,6 +28,8 @@
     state: State,
     /// Places of the machine: itself, its rack, its hall.
     at: [usize; 3],
+    /// Groups of the copies on it, one each.
+    holds: Vec<usize>,
 }
 
 /// Places of one level, and the machines in each.
@@ -42,6 +46,8 @@
     service: Option<u64>,
     level: Level,
     counts: Vec<u32>,
+    /// Of these, those on machines whose link is well; and of all places.
+    sure: Vec<u32>,
     total: u32,
     watchers: Vec<usize>,
 }
@@ -175,7 +181,9 @@
             return t;
         }
         let counts = vec![0; self.places_of(level)];
-        let tally = Tally { scope: scope.clone(), service, level, counts, total: 0, watchers: Vec::new() };
+        let sure = counts.clone();
+        let tally =
+            Tally { scope: scope.clone(), service, level, counts, sure, total: 0, watchers: Vec::new() };
         let t = self.free_tallies.pop().unwrap_or(self.tallies.len());
         if t == self.tallies.len() {
             self.tallies.push(tally);
@@ -201,7 +209,15 @@
         if m >= self.machines.len() {
             self.machines.resize(m + 1, None);
         }
-        let before = self.machines[m].as_ref().map(|k| k.at);
+        let known = self.machines[m].take();
+        if known.as_ref().is_some_and(|k| k.facts == facts && k.state == state) {
+            self.machines[m] = known;
+            return;
+        }
+        let before = known.as_ref().map(|k| k.at);
+        let holds = known.as_ref().map(|k| k.holds.clone()).unwrap_or_default();
+        // What is on it is taken off where it was, and put where it is now.
+        let again = known.as_ref().is_some_and(|k| k.state == State::Far) != (state == State::Far);
         let hall = self.place(Level::Hall, (facts.hall.clone(), 0));
         let rack = self.place(Level::Rack, (facts.hall.clone(), facts.rack));
         let at = [m, rack, hall];
@@ -211,17 +227,25 @@
                 for level in [Level::Rack, Level::Hall] {
                     self.places[index(level)].machines[old[index(level)]].retain(|&o| o != m);
                 }
-                self.recount(m, old, at);
             }
             for level in [Level::Rack, Level::Hall] {
                 self.places[index(level)].machines[at[index(level)]].push(m);
             }
         }
-        self.machines[m] = Some(Known { facts, state, at });
         for t in 0..self.tallies.len() {
             let places = self.places_of(self.tallies[t].level);
             self.tallies[t].counts.resize(places, 0);
+            self.tallies[t].sure.resize(places, 0);
+        }
+        let recounted = (moved || again) && !holds.is_empty();
+        if recounted {
+            let was_far = known.as_ref().is_some_and(|k| k.state == State::Far);
+            for &g in &holds {
+                self.tally_up(g, before.unwrap_or(at), was_far, false);
+                self.tally_up(g, at, state == State::Far, true);
+            }
         }
+        self.machines[m] = Some(Known { facts, state, at, holds });
         for g in &mut self.groups {
             if g.blocks.len() <= m {
                 g.blocks.resize(m + 1, 0);
@@ -229,28 +253,13 @@
         }
         for b in 0..self.bounds.len() {
             self.machine_of(b, m);
-            if moved {
+            if moved || recounted {
                 self.fewest_anew(b);
                 self.refresh_all(b);
             }
         }
     }
 
-    /// What counts on a machine that was moved counts where it is now.
-    fn recount(&mut self, m: usize, old: [usize; 3], at: [usize; 3]) {
-        let here: Vec<(Copy, usize)> =
-            self.copies.iter().filter(|x| x.1 .1 == m).map(|x| (*x.0, x.1 .0)).collect();
-        for (_, group) in here {
-            for t in self.groups[group].feeds.clone() {
-                let level = index(self.tallies[t].level);
-                let places = self.places_of(self.tallies[t].level);
-                self.tallies[t].counts.resize(places, 0);
-                self.tallies[t].counts[old[level]] -= 1;
-                self.tallies[t].counts[at[level]] += 1;
-            }
-        }
-    }
-
     fn place(&mut self, level: Level, name: (String, u32)) -> usize {
         let places = &mut self.places[index(level)];
         let new = places.machines.len();
@@ -318,6 +327,21 @@
         std::mem::replace(&mut bound.fewest, fewest) != fewest
     }
 
+    /// One copy of a group more or less in the places of a machine.
+    fn tally_up(&mut self, g: usize, at: [usize; 3], far: bool, more: bool) {
+        for &t in &self.groups[g].feeds {
+            let tally = &mut self.tallies[t];
+            let place = at[index(tally.level)];
+            for (count, counts) in
+                [(&mut tally.counts[place], true), (&mut tally.sure[place], !far), (&mut tally.total, !far)]
+            {
+                if counts {
+                    *count = if more { *count + 1 } else { *count - 1 };
+                }
+            }
+        }
+    }
+
     fn forbids(&self, b: usize, m: usize) -> bool {
         let Some(known) = &self.machines[m] else { return true };
         let bound = &self.bounds[b];
@@ -328,7 +352,10 @@
         match &bound.test {
             Test::Which { which, inside } => which.names(&known.facts) != *inside,
             Test::With { tally, may_begin } if self.tallies[*tally].total == 0 => !may_begin,
-            Test::With { tally, .. } => here(*tally) == 0,
+            Test::With { tally, .. } => {
+                let tally = &self.tallies[*tally];
+                tally.sure.get(known.at[index(tally.level)]).is_none_or(|n| *n == 0)
+            }
             Test::Apart { tally } => here(*tally) > 0,
             Test::Spread { tally, most, skew, .. } => {
                 most.is_some_and(|most| here(*tally) >= most)
@@ -409,9 +436,10 @@
                 self.free_bounds.push(b);
                 self.tallies[t].watchers.retain(|&x| x != b);
                 let tally = &self.tallies[t];
-                if tally.watchers.is_empty() && tally.total == 0 {
+                if tally.watchers.is_empty() && tally.counts.iter().all(|n| *n == 0) {
                     self.tally_of.remove(&(tally.scope.clone(), tally.service, tally.level));
                     self.tallies[t].counts.clear();
+                    self.tallies[t].sure.clear();
                     self.free_tallies.push(t);
                 }
             }
@@ -539,17 +567,19 @@
     }
 
     fn count(&mut self, g: usize, m: usize, more: bool) {
-        let Some(at) = self.machines.get(m).and_then(|k| k.as_ref()).map(|k| k.at) else { return };
-        for i in 0..self.groups[g].feeds.len() {
+        let Some(known) = self.machines.get_mut(m).and_then(Option::as_mut) else { return };
+        if more {
+            known.holds.push(g);
+        } else if let Some(i) = known.holds.iter().position(|&x| x == g) {
+            known.holds.swap_remove(i);
+        }
+        let (at, far) = (known.at, known.state == State::Far);
+        let before: Vec<u32> = self.groups[g].feeds.iter().map(|&t| self.tallies[t].total).collect();
+        self.tally_up(g, at, far, more);
+        for (i, was) in before.into_iter().enumerate() {
             let t = self.groups[g].feeds[i];
-            let tally = &mut self.tallies[t];
+            let tally = &self.tallies[t];
             let place = at[index(tally.level)];
-            let was = tally.total;
-            if more {
-                (tally.counts[place], tally.total) = (tally.counts[place] + 1, tally.total + 1);
-            } else {
-                (tally.counts[place], tally.total) = (tally.counts[place] - 1, tally.total - 1);
-            }
             let (level, turned) = (tally.level, (was == 0) != (tally.total == 0));
             for w in 0..self.tallies[t].watchers.len() {
                 let b = self.tallies[t].watchers[w];
--- a/clauses/tests/plain.rs
+++ b/clauses/tests/plain.rs
@@ -88,7 +88,7 @@
 }
 
 fn state() -> impl Strategy<Value = State> {
-    prop_oneof![4 => Just(State::Ready), 1 => Just(State::Down), 1 => Just(State::Gone)]
+    prop_oneof![4 => Just(State::Ready), 1 => Just(State::Down), 1 => Just(State::Far), 1 => Just(State::Gone)]
 }
 
 /// All that is so, with no index and nothing kept.
@@ -119,8 +119,10 @@
             Rule::In(w) => !bound || w.names(here),
             Rule::NotIn(w) => !bound || !w.names(here),
             Rule::With(s, l) => {
-                let anywhere = self.copies.values().any(|(t, _)| s.matches(t));
-                !bound || if anywhere { self.count(m, *l, |t| s.matches(t)) > 0 } else { s.matches(t) }
+                let sure = |o: &usize| self.machines[*o].1 != State::Far;
+                let company = || self.copies.values().filter(|(t, o)| s.matches(t) && sure(o));
+                let near = company().any(|(_, o)| self.near(*o, m, *l));
+                !bound || if company().next().is_some() { near } else { s.matches(t) }
             }
             Rule::Apart(s, l) => {
                 let there = bound && self.count(m, *l, |t| s.matches(t)) > 0;
--- a/cli/src/drill.rs
+++ b/cli/src/drill.rs
@@ -73,6 +73,10 @@
         "cold machines spared",
         "spread kept",
     ];
+    let clauses = v.breaches.iter().filter(|b| b.rule == 6).count();
+    if clauses > 0 {
+        text += &format!("clauses BROKEN {clauses} times\n");
+    }
     for (i, rule) in rules.iter().enumerate() {
         let broken = v.breaches.iter().filter(|b| usize::from(b.rule) == i + 1).count();
         let word = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
--- a/directory/tests/ways.rs
+++ b/directory/tests/ways.rs
@@ -230,6 +230,38 @@
     });
 }
 
+/// The answers to a sweep end after each byte of them, in each way of reading: nobody who is there is lost, and unless all
+/// came it is not taken for all.
+#[test]
+fn a_page_cut_at_each_byte_loses_no_tenant() {
+    on_sockets(async {
+        for sync in [false, true] {
+            let there = directory::start("s").await.unwrap();
+            let mut source = source("bytes", vec![format!("ldap://{}", there.address)]);
+            (source.sync, source.page) = (sync, 3);
+            let mut reference = There::new();
+            reference.all.retain(|n, _| n % 2 == 0);
+            *there.entries.borrow_mut() = reference.laid();
+            let want = reference.entries(&source.names);
+            let mut ours = Ours::new(&source);
+            ours.sweep(&source).await.unwrap();
+            assert_eq!(ours.entries(), want);
+            let all = there.bytes.get();
+            for most in 0..all {
+                there.bytes.set(0);
+                there.trouble.set(Trouble::CutsAtByte(most));
+                let swept = sweep(&source, 0, Before::default(), || ()).await;
+                let whole = swept.as_ref().is_ok_and(|s| s.sweep.complete);
+                assert!(!whole, "byte {most} of {all}, synchronised: {sync}");
+                ours.now = ours.keeper.next_at().max(ours.now + 1);
+                ours.keeper.next(ours.now).unwrap();
+                ours.keeper.swept(ours.now, swept.ok().map(|s| s.sweep));
+                assert_eq!(ours.entries(), want, "byte {most} of {all}, synchronised: {sync}");
+            }
+        }
+    });
+}
+
 /// The second server is older, and is turned to when the first fails: nothing goes back behind what was seen.
 #[test]
 fn of_two_servers_that_disagree_the_older_takes_nothing_back() {
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -544,7 +544,8 @@
         };
         let state = match ready {
             Readiness::Ready => State::Ready,
-            Readiness::Draining => State::Down,
+            Readiness::Draining if machine.standing.link == Link::Well => State::Down,
+            Readiness::Draining => State::Far,
             Readiness::Gone => State::Gone,
         };
         bounds.machine(m, facts, state);
@@ -552,6 +553,11 @@
 
     /// Something of a machine's standing changed: the module hears it if that makes a difference to it.
     fn stands_anew(&mut self, m: usize) {
+        if let Some(ready) =
+            self.known[m].as_ref().and_then(|x| x.standing.told.map(|_| x.standing.readiness()))
+        {
+            self.bound_machine(m, ready);
+        }
         let changed = self.known[m].as_ref().is_some_and(|x| x.standing.told != Some(x.standing.readiness()));
         if changed {
             self.tell(Told::ListBegins { whole: false, fresh: false });
--- a/planner/tests/net/mod.rs
+++ b/planner/tests/net/mod.rs
@@ -164,7 +164,7 @@
             starts: HashMap::new(),
         };
         for m in &net.machines {
-            let spot = Spot { zone: m.zone.to_string(), cell: 0 };
+            let spot = Spot { zone: m.zone.to_string(), cell: 0, ..Spot::default() };
             net.auditor.machine_is(&m.name, spot);
         }
         net.carry();
--- a/standins/src/directory.rs
+++ b/standins/src/directory.rs
@@ -1,5 +1,6 @@
 //! A stand-in LDAP directory on loopback, with faults on command. It serves what is laid into it: in pages, and by content
 //! synchronisation; in the clear, over TLS, or after StartTLS.
+use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
 use ldap3_proto::control::LdapControl;
 use ldap3_proto::proto::{
@@ -11,10 +12,10 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio_rustls::TlsAcceptor;
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Encoder, Framed};
 use uuid::Uuid;
 
 /// An entry: its distinguished name, and attributes with their values.
@@ -31,6 +32,8 @@
     Stalls,
     /// The connection ends after so many entries.
     CutsAfter(usize),
+    /// The connection ends after so many bytes of answers to searches.
+    CutsAtByte(usize),
     /// The search ends there with "size limit exceeded".
     SizeLimit(usize),
     /// A pause before each page, in milliseconds.
@@ -50,6 +53,8 @@
     pub searches: Cell<u32>,
     /// Entries that were sent with attributes beyond their id and stamp.
     pub sent: Cell<u32>,
+    /// Bytes of answers to searches since this was last set.
+    pub bytes: Cell<usize>,
     /// What each cookie stands for.
     states: RefCell<Vec<Vec<Laid>>>,
 }
@@ -135,7 +140,19 @@
 
 impl Answers<'_> {
     async fn say(&mut self, op: LdapOp, ctrl: Vec<LdapControl>) -> Option<()> {
-        self.wire.send(LdapMsg { msgid: self.msgid, op, ctrl }).await.ok()
+        let msg = LdapMsg { msgid: self.msgid, op, ctrl };
+        if matches!(msg.op, LdapOp::BindResponse(_) | LdapOp::ExtendedResponse(_)) {
+            return self.wire.send(msg).await.ok();
+        }
+        let mut bytes = BytesMut::new();
+        LdapCodec::default().encode(msg, &mut bytes).ok()?;
+        let before = self.me.bytes.replace(self.me.bytes.get() + bytes.len());
+        if let Trouble::CutsAtByte(most) = self.me.trouble.get() {
+            bytes.truncate(most.saturating_sub(before));
+        }
+        let whole = before + bytes.len() == self.me.bytes.get();
+        self.wire.get_mut().write_all(&bytes).await.ok()?;
+        whole.then_some(())
     }
 
     async fn done(&mut self, code: LdapResultCode, ctrl: Vec<LdapControl>) -> Option<()> {
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -7,6 +7,7 @@
 use crate::register::{self, Lateness};
 use basaltpitch_agent::link::Clock;
 use basaltpitch_agent::wire::Submit;
+use basaltpitch_audit::laws::{Law, Must, Whose};
 use basaltpitch_audit::{Auditor, Breach, Framework, Spot, Tally, Terms};
 use basaltpitch_records::installation::Installation;
 use basaltpitch_records::{Plain, Settled};
@@ -202,6 +203,46 @@
     }
 }
 
+fn texts(of: &Settled, list: &str) -> Vec<String> {
+    let text = |x: &Settled| match &x.value {
+        Plain::Text(t) => Some(t.clone()),
+        _ => None,
+    };
+    of.list(list).iter().filter_map(text).collect()
+}
+
+/// The clauses that a drill judges, read anew from the records: hard ones, skews aside.
+fn laws(all: &Settled) -> Vec<Law> {
+    let whose = |s: Option<&Settled>| {
+        let text = |f: &str| s.and_then(|s| s.text(f)).unwrap_or("").to_owned();
+        let service = s.and_then(|s| s.number("service")).map(|n| n as u64);
+        Whose { framework: text("framework"), tenant: text("tenant"), service, task: text("task") }
+    };
+    let be = |w: &Settled, inside| {
+        let list = |l: &str| texts(w, l);
+        Must::Be { kinds: list("kinds"), halls: list("halls"), labels: list("labels"), inside }
+    };
+    let law = |c: &Settled| {
+        let near = |s: &Settled, f: &str| s.text(f).unwrap_or("hall").to_owned();
+        let must = if let Some(w) = c.get("in") {
+            be(w, true)
+        } else if let Some(w) = c.get("not_in") {
+            be(w, false)
+        } else if let Some(s) = c.get("with") {
+            Must::With { whose: whose(Some(s)), near: near(s, "within") }
+        } else if let Some(s) = c.get("apart") {
+            Must::Apart { whose: whose(Some(s)), near: near(s, "within") }
+        } else {
+            let s = c.get("spread")?;
+            let by_service = s.text("by") != Some("all");
+            Must::Most { near: near(s, "over"), by_service, most: s.number("most")? as usize }
+        };
+        let name = c.text("name").unwrap_or("").to_owned();
+        Some(Law { name, of: whose(c.get("of")), must })
+    };
+    all.list("clauses").iter().filter(|c| c.text("how") != Some("prefer")).filter_map(law).collect()
+}
+
 /// The terms that an installation's text sets.
 pub fn terms_of(text: &str) -> Terms {
     let site = basaltpitch_records::installation::load_texts(&[("site.rec", text)]);
@@ -241,6 +282,7 @@
     let mut chance = StdRng::seed_from_u64(seed);
     let load = Rc::new(Load::default());
     let world = world(&how.installation, load.clone());
+    world.auditor.borrow_mut().judge_by(laws(&all));
     let fleet = start_fleet(&all, &day, &world, &mut chance).await?;
     let time = |path: &str| day.time(path).unwrap_or(0);
     let late = Lateness {
@@ -394,10 +436,13 @@
             }
             let place = (zone.to_owned(), cells[zone]);
             let name = format!("machine-{}", fleet.len());
-            let spot = Spot { zone: zone.to_owned(), cell: place.1 };
+            let labels = texts(group, "labels");
+            let spot = Spot { zone: zone.to_owned(), cell: place.1, kind: kind.to_owned(), labels };
             world.auditor.borrow_mut().machine_is(&name, spot);
             let seed = chance.random();
-            fleet.push(machine::start(world.clone(), name, place, kind.to_owned(), size, seed).await?);
+            let machine = machine::start(world.clone(), name, place, kind.to_owned(), size, seed).await?;
+            *machine.labels.borrow_mut() = texts(group, "labels");
+            fleet.push(machine);
         }
     }
     Ok(fleet)
--- a/standins/src/register.rs
+++ b/standins/src/register.rs
@@ -157,7 +157,7 @@
                 started_us: m.started.get(),
                 cores_left: m.cores - asked.0,
                 memory_left: m.memory - asked.1,
-                labels: Vec::new(),
+                labels: m.labels.borrow().clone(),
             };
             entries.insert(m.name.clone(), entry);
         }
