--- a/clauses/benches/decision.rs
+++ b/clauses/benches/decision.rs
@@ -102,8 +102,9 @@
             Rule::In(w) => !c.of.matches(t) || w.names(here),
             Rule::NotIn(w) => !c.of.matches(t) || !w.names(here),
             Rule::Apart(s, l) => {
-                !(c.of.matches(t) && count(*l, &|o| s.matches(o)) > 0)
-                    && !(s.matches(t) && count(*l, &|o| c.of.matches(o)) > 0)
+                let there = c.of.matches(t) && count(*l, &|o| s.matches(o)) > 0;
+                let back = s.matches(t) && count(*l, &|o| c.of.matches(o)) > 0;
+                !there && !back
             }
             Rule::Spread { over, by, most: Some(most), .. } if c.of.matches(t) => {
                 count(*over, &|o| c.of.matches(o) && (*by == By::All || o.service == t.service)) < *most
