Clauses change in service; commands to check, explain, compare and take them

Need: operators must see what a changed file would break before it binds, and why a task is kept out.

Change: constraints check, explain, diff and take. New clauses are told all machines and copies beside those that bind, and change places with them whole or not at all; what runs and breaks one is listed and runs on. Wishes are asked before the homes of a service.

--- a/clauses/src/lib.rs
+++ b/clauses/src/lib.rs
@@ -8,9 +8,10 @@
 pub mod read;
 
 use basaltpitch_records::Span;
+use serde::{Deserialize, Serialize};
 
 /// Which tasks: all parts that are given must match. Nothing given: all tasks.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Scope {
     pub framework: Option<String>,
     pub tenant: Option<String>,
@@ -64,7 +65,7 @@
 }
 
 /// How near is near.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Level {
     Machine,
     Rack,
@@ -72,7 +73,7 @@
 }
 
 /// Machines by what is listed of them. Each list that is not empty must name the machine's; of labels it must have one.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Which {
     pub kinds: Vec<String>,
     pub halls: Vec<String>,
@@ -101,7 +102,7 @@
 }
 
 /// Which places count for a spread when some have no machine that takes work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Gone {
     /// Only those with a machine that is ready: the others do without.
     Live,
@@ -110,13 +111,13 @@
 }
 
 /// Tasks that a spread counts together.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum By {
     Service,
     All,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Rule {
     /// Only on those machines.
     In(Which),
@@ -130,9 +131,11 @@
     Spread { over: Level, by: By, most: Option<u32>, skew: Option<u32>, gone: Gone },
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Clause {
     pub name: String,
+    /// Where it stands; what is sent to a planner has words for that beside it.
+    #[serde(skip)]
     pub at: Span,
     pub of: Scope,
     /// `None`: it must hold. Else how much it is wished for: higher ranks first.
--- a/cli/src/ask.rs
+++ b/cli/src/ask.rs
@@ -131,7 +131,7 @@
     "memory",
 ];
 
-fn plain(v: &Value) -> String {
+pub fn plain(v: &Value) -> String {
     match v {
         Value::String(s) => s.clone(),
         Value::Null => "-".into(),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! `basaltpitch`: the planner service and the operators' command line.
 mod ask;
+mod constraints;
 mod drill;
 mod machine;
 mod measure;
@@ -56,6 +57,9 @@
     Planner(ask::At),
     /// Drain a machine, or take that back
     Drain(ask::Drain),
+    /// Clauses on where tasks may run
+    #[command(subcommand)]
+    Constraints(constraints::Constraints),
     /// What a planner knows of tenants, and the state of the directory
     Tenants(tenants::Tenants),
     /// Measure what one planner carries, beside the bare decisions on the same events
@@ -93,6 +97,7 @@
         Command::Machine(machine) => machine.run(json),
         Command::Drill(drill) => drill.run(json),
         Command::Check { files, directory } => check(&files, directory, json),
+        Command::Constraints(constraints) => constraints.run(json),
         Command::Tenants(tenants) => tenants.run(json),
         Command::Submit(submit) => submit.run(json),
         Command::Tasks(tasks) => tasks.run(json),
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -790,6 +790,11 @@
         left
     }
 
+    /// What each task asks for, to be changed where it does not matter to the ledger.
+    pub fn jobs_mut(&mut self) -> impl Iterator<Item = (&K, &mut J)> {
+        self.records.iter_mut().map(|(key, r)| (key, &mut r.job))
+    }
+
     /// Forgets answered records by age and by count. A record with a copy anywhere stays. Returns how many left.
     pub fn forget(&mut self) -> usize {
         let mut left = 0;
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -20,6 +20,7 @@
     Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Promises, Reason, PROMISES,
 };
 use basaltpitch_tenants::{Change, Sweep};
+use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
@@ -292,6 +293,104 @@
         }
     }
 
+    /// Clauses in place of those that bind: what they break of what runs. Taken whole, or not at all.
+    fn rebind(&mut self, clauses: Vec<(Clause, String)>, take: bool) -> Value {
+        let (clauses, places): (Vec<Clause>, Vec<String>) = clauses.into_iter().unzip();
+        // Machines are told to the new ones as they are told to those that bind.
+        let before = self.placing.host.bounds.replace(Bounds::new(clauses));
+        for m in 0..self.known.len() {
+            if let Some(ready) = self.known[m].as_ref().map(|x| x.standing.readiness()) {
+                self.bound_machine(m, ready);
+            }
+        }
+        let Some(mut bounds) = std::mem::replace(&mut self.placing.host.bounds, before) else {
+            return Value::Null;
+        };
+        let facts_of = |core: &Core, key: &Key, job: &Job| {
+            let tenant = job.tenant.map(|t| core.tenancy.called(t).0).unwrap_or_default();
+            let framework = core.names.frameworks[job.framework].0.clone();
+            Rc::new(Facts { framework, tenant, service: job.service, key: key.to_string() })
+        };
+        let mut all = Vec::new();
+        for (key, r) in self.ledger().records() {
+            let facts = facts_of(self, key, &r.job);
+            let copies: Vec<(Launch, usize)> = r.copies.iter().map(|c| (c.launch, c.machine)).collect();
+            all.push((key.clone(), facts, copies, r.task));
+        }
+        for (_, facts, copies, _) in &all {
+            copies.iter().for_each(|c| bounds.began(c.0, c.1, facts));
+        }
+        let mut broken = Vec::new();
+        for (key, facts, copies, _) in &all {
+            for &(launch, m) in copies {
+                // As if it came now, the last of all.
+                bounds.over(launch);
+                let g = bounds.deciding.enter(facts);
+                let clauses: Vec<&str> =
+                    bounds.deciding.forbidding(g, m).into_iter().map(|c| places[c].as_str()).collect();
+                if !clauses.is_empty() {
+                    broken.push(
+                        json!({"key": &**key, "machine": &**self.machines.door.id(m), "clauses": clauses}),
+                    );
+                }
+                bounds.deciding.leave(g);
+                bounds.began(launch, m, facts);
+            }
+        }
+        if take {
+            for (_, facts, _, task) in &all {
+                if let Some(task) = task {
+                    bounds.enter(*task, facts);
+                }
+            }
+            let mut facts: BTreeMap<Key, Rc<Facts>> = all.into_iter().map(|x| (x.0, x.1)).collect();
+            self.placing.host.ledger.jobs_mut().for_each(|(key, job)| job.facts = facts.remove(key));
+            self.placing.host.bounds = Some(bounds);
+            self.clauses = places;
+        }
+        json!({"taken": take, "broken": broken})
+    }
+
+    /// How clauses stand to a task: each that binds it, what it leaves, and who forbids which machine.
+    pub(crate) fn explain(&mut self, facts: &Facts, machines: bool) -> Value {
+        let Some(bounds) = self.placing.host.bounds.as_mut() else { return json!({"clauses": []}) };
+        let stands = bounds.stands(facts);
+        let g = bounds.deciding.enter(facts);
+        let known = bounds.deciding.fleet().filter(|x| x.2 != State::Gone).count();
+        let leaves = bounds.deciding.leaves(g);
+        let named = |c: &[usize]| -> Vec<&str> { c.iter().map(|&c| self.clauses[c].as_str()).collect() };
+        let rows: Vec<Value> =
+            leaves.iter().map(|x| json!({"clause": self.clauses[x.0], "leaves": x.1, "of": known})).collect();
+        let mut by_machine = Vec::new();
+        for (m, facts, state) in bounds.deciding.fleet().filter(|_| machines).take(view::MOST_ROWS) {
+            let state = match state {
+                State::Ready => "ready",
+                State::Down => "drains",
+                State::Far => "link not well",
+                State::Gone => "gone",
+            };
+            let forbidding = named(&bounds.deciding.forbidding(g, m));
+            by_machine
+                .push(json!({"machine": &**self.machines.door.id(m), "state": state, "kind": facts.kind,
+                "hall": facts.hall, "rack": facts.rack, "labels": facts.labels, "forbidden_by": forbidding}));
+        }
+        let verdict = match &stands {
+            Stands::Free => json!("some machine is allowed"),
+            Stands::KeptOut => json!("kept out by what runs"),
+            Stands::Never { clauses, smallest } => {
+                json!({"never": named(clauses), "smallest": smallest})
+            }
+        };
+        bounds.deciding.leave(g);
+        json!({"task": {"framework": facts.framework, "tenant": facts.tenant, "service": facts.service,
+            "key": facts.key}, "verdict": verdict, "clauses": rows, "machines": by_machine})
+    }
+
+    /// What clauses see of a task that is known by its key.
+    pub(crate) fn facts_of(&self, key: &str) -> Option<Rc<Facts>> {
+        self.ledger().record(&key.into()).and_then(|r| r.job.facts.clone())
+    }
+
     /// The clauses that keep a task out everywhere now, if clauses do.
     fn kept_out(&mut self, facts: &Rc<Facts>) -> Option<String> {
         let bounds = self.placing.host.bounds.as_mut()?;
@@ -763,6 +862,11 @@
             Body::Withdraw(w) => {
                 self.placing.host.on_ledger(|l, acts| l.withdraw(&w.key.as_str().into(), w.ask, acts));
             }
+            Body::Query(q) if q.what == "explain" => {
+                let json = view::explain(self, &self.login(conn), &q.about)?;
+                let told = Body::Told(wire::Told { json, more: false });
+                self.out.push_back(Out::Conn { conn, body: told });
+            }
             Body::Query(q) => {
                 let json = view::answer(self, &self.login(conn), &q.what, &q.about)?;
                 let told = Body::Told(wire::Told { json, more: false });
@@ -777,6 +881,22 @@
                 self.out.push_back(Out::Register(Body::Drain(drain)));
                 self.out.push_back(Out::Conn { conn, body: Body::Told(wire::Told { json, more: false }) });
             }
+            Body::Clauses(c) => {
+                let login = self.login(conn);
+                self.tenancy.operates(now, &login, "clauses")?;
+                let clauses: Vec<(Clause, String)> = serde_json::from_str(&c.json).map_err(|e| {
+                    format!("clauses: found {e}; expected clauses in JSON with words for each")
+                })?;
+                if c.take {
+                    tracing::warn!(
+                        login = &*login,
+                        clauses = clauses.len(),
+                        "other clauses bind from now on"
+                    );
+                }
+                let json = self.rebind(clauses, c.take).to_string();
+                self.out.push_back(Out::Conn { conn, body: Body::Told(wire::Told { json, more: false }) });
+            }
             Body::Accept(_) => {
                 let login = self.login(conn);
                 self.tenancy.operates(now, &login, "accept")?;
--- a/planner/src/tenancy.rs
+++ b/planner/src/tenancy.rs
@@ -352,6 +352,19 @@
         }
     }
 
+    /// The same by a tenant's name; an error says why not.
+    pub fn may_see(&self, now: i64, login: &str, tenant: &str) -> Result<(), String> {
+        let Tenancy::Learnt(l) = self else { return Ok(()) };
+        let tenant = l.keeper.tenants().find(tenant, now);
+        let ruling = l.rule(now, login, Asks::See { tenant });
+        let words = ruling.why.words();
+        if ruling.may {
+            Ok(())
+        } else {
+            Err(format!("found login {login:?}: {words}; expected a member, an auditor or an operator"))
+        }
+    }
+
     /// An operator's act: an error says why someone may not.
     pub fn operates(&self, now: i64, login: &str, what: &str) -> Result<(), String> {
         let Tenancy::Learnt(l) = self else { return Ok(()) };
--- a/planner/src/view.rs
+++ b/planner/src/view.rs
@@ -5,7 +5,7 @@
 use serde_json::{json, Value};
 
 /// Rows that one answer holds at the most.
-const MOST_ROWS: usize = 1000;
+pub const MOST_ROWS: usize = 1000;
 
 fn rounded(x: f64) -> f64 {
     (x * 1000.0).round() / 1000.0
@@ -36,6 +36,34 @@
     Ok(value.to_string())
 }
 
+/// How clauses stand to a task. `about` is JSON: `key` of a known task, or `framework`, `tenant`, `service` of one that
+/// might be; `machines` for each machine, too.
+pub fn explain(core: &mut Core, login: &str, about: &str) -> Result<String, String> {
+    let asked: Value = serde_json::from_str(about)
+        .map_err(|e| format!("explain: found {e}; expected JSON with a key, or a framework and a service"))?;
+    let text = |field: &str| asked[field].as_str().unwrap_or("").to_owned();
+    let facts = match asked["key"].as_str() {
+        Some(key) => {
+            let none = || {
+                format!(
+                    "explain: found {key:?}; expected the key of a known task, and clauses in the settings"
+                )
+            };
+            (*core.facts_of(key).ok_or_else(none)?).clone()
+        }
+        None => basaltpitch_clauses::Task {
+            framework: text("framework"),
+            tenant: text("tenant"),
+            service: asked["service"].as_u64().unwrap_or(0),
+            key: String::new(),
+        },
+    };
+    if let Some(tenant) = Some(&facts.tenant).filter(|t| !t.is_empty()) {
+        core.tenancy().may_see(core.clock_now(), login, tenant)?;
+    }
+    Ok(core.explain(&facts, asked["machines"] == true).to_string())
+}
+
 fn planner(core: &Core) -> Value {
     json!({
         "name": core.who.name,
--- a/planner/tests/clauses.rs
+++ b/planner/tests/clauses.rs
@@ -2,7 +2,7 @@
 //! counting what stands on machines then; conflicts are named at once, and what is only kept out waits.
 mod net;
 
-use basaltpitch_agent::wire::{self, AnswerKind};
+use basaltpitch_agent::wire::{self, AnswerKind, Body};
 use basaltpitch_clauses::read::read;
 use basaltpitch_records::installation::load_texts;
 use net::{Net, BIG, ONCE, SMALL};
@@ -138,3 +138,33 @@
     assert_eq!(ask(&mut net, BIG, "c", 1), None, "both halls have theirs");
     assert_eq!(net.finish().0, []);
 }
+
+/// Clauses change in service: what they would break is told first, what runs runs on, and new tasks are bound.
+#[test]
+fn other_clauses_are_taken_whole() {
+    let old = "{name: \"ssd\", of: {framework: \"small\"}, in: {labels: [\"ssd\"]}}";
+    let mut net = begin(old, &[0, 2]);
+    let first = placed(&mut net, SMALL, "a");
+    assert_eq!(hall(&first), 0);
+    let text = |c: &str| {
+        let site = format!("clauses: [{c}]\n");
+        let site = load_texts(&[("site.rec", SITE), ("c.rec", &site)]).map_err(|e| e.1).unwrap();
+        let all: Vec<_> = read(&site.all).unwrap().into_iter().map(|c| (c.clone(), c.name)).collect();
+        serde_json::to_string(&all).unwrap()
+    };
+    let new = text("{name: \"b\", of: {framework: \"small\"}, in: {halls: [\"hall-b\"]}}");
+    let say = |take| Body::Clauses(wire::Clauses { json: new.clone(), take });
+    let broken = format!("[{{\"clauses\":[\"b\"],\"key\":\"a\",\"machine\":\"{first}\"}}]");
+    assert_eq!(net.ask(say(false)).unwrap(), format!("{{\"broken\":{broken},\"taken\":false}}"));
+    assert_eq!(hall(&placed(&mut net, SMALL, "b")), 0, "not taken");
+    assert!(net.ask(Body::Clauses(wire::Clauses { json: "[3]".into(), take: true })).is_err());
+    assert_eq!(hall(&placed(&mut net, SMALL, "c")), 0, "nothing half-taken");
+    assert!(net.ask(say(true)).unwrap().contains("\"taken\":true"));
+    assert_eq!(hall(&placed(&mut net, SMALL, "d")), 1);
+    let about = "{\"key\":\"a\",\"machines\":true}".to_owned();
+    let told = net.ask(Body::Query(wire::Query { what: "explain".into(), about })).unwrap();
+    let told: serde_json::Value = serde_json::from_str(&told).unwrap();
+    assert_eq!((&told["clauses"][0]["clause"], &told["clauses"][0]["leaves"]), (&"b".into(), &3.into()));
+    assert_eq!(told["machines"].as_array().unwrap().len(), 6);
+    assert_eq!(net.finish().0, []);
+}
--- a/src/host.rs
+++ b/src/host.rs
@@ -92,7 +92,7 @@
     fn allows(&self, _task: usize, _machine: usize) -> bool {
         true
     }
-    /// How well its wishes are met there; more is better. Asked for machines that fit and suit equally well.
+    /// How well its wishes are met there; more is better. Asked of machines that fit and suit equally well.
     fn wishes(&self, _task: usize, _machine: usize) -> u64 {
         0
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -394,17 +394,18 @@
             }
         }
         let mut fits = if fits.is_empty() { crowded } else { fits };
-        // Of the fitting machines those that suit best; of these the service's homes, then the fullest.
+        // Of the fitting machines those that suit best; of these the most wished for, the service's homes, then
+        // the fullest.
         let first = fits.iter().map(|x| x.2 >> 2).max().unwrap_or(0);
         fits.retain(|x| x.2 >> 2 == first);
-        fits.sort_by_cached_key(|x| std::cmp::Reverse(self.draw_of(s, x.0)));
-        fits.truncate(HOMES);
-        let best = fits.iter().map(|x| x.2).max().unwrap_or(0);
-        fits.retain(|x| x.2 == best);
         let wishes: Vec<u64> = fits.iter().map(|x| self.host.wishes(task, x.0)).collect();
         let most = wishes.iter().copied().max().unwrap_or(0);
         let mut wished = wishes.iter().map(|&w| w == most);
         fits.retain(|_| wished.next() == Some(true));
+        fits.sort_by_cached_key(|x| std::cmp::Reverse(self.draw_of(s, x.0)));
+        fits.truncate(HOMES);
+        let best = fits.iter().map(|x| x.2).max().unwrap_or(0);
+        fits.retain(|x| x.2 == best);
         let fullest = fits.iter().map(|x| x.1).fold(f64::MIN, f64::max);
         fits.retain(|x| x.1 >= fullest - TIE);
         let m = if !fits.is_empty() {
