--- a/agent/src/health.rs
+++ b/agent/src/health.rs
@@ -1,7 +1,7 @@
-//! How a link's silence is judged: well, suspect, lost. No I/O; times are whole microseconds.
-//! The bounds come from the gaps between the heartbeats of that link alone, as a far or a busy peer beats less
-//! evenly than a near one. A link that was suspect is well again only after heartbeats in a row: a link that
-//! stutters stays suspect.
+//! How a link's silence is judged: well, suspect, lost. No I/O; times are whole microseconds. The bounds come
+//! from the gaps between the heartbeats of that link alone, as a far or a busy peer beats less evenly than a
+//! near one. A link that was suspect is well again only after heartbeats in a row: a link that stutters stays
+//! suspect.
 
 /// Weight of a new gap in the mean and in the deviation, as in the estimator of RFC 6298.
 const GAIN_MEAN: f64 = 0.125;
@@ -56,13 +56,15 @@
         (LOST * self.suspect_after() as f64) as i64
     }
 
-    /// Any frame proves that the peer lives; only heartbeats, which come by the clock, tell how even the link is.
+    /// Any frame proves that the peer lives; only heartbeats, which come by the clock, tell how even the link
+    /// is.
     pub fn heard(&mut self, now: i64, heartbeat: bool) {
         if heartbeat {
             let gap = (now - self.beat_at).max(0) as f64;
             let in_time = gap <= self.suspect_after() as f64;
             self.steady = if in_time { self.steady.saturating_add(1) } else { 0 };
-            // Beats that a stall delivers at once are no sign of an even link: gaps count from half a period on.
+            // Beats that a stall delivers at once are no sign of an even link: gaps count from half a period
+            // on.
             if gap >= 0.5 * self.period {
                 self.deviation += GAIN_DEVIATION * ((gap - self.mean).abs() - self.deviation);
                 self.mean += GAIN_MEAN * (gap - self.mean);
--- a/agent/src/holder.rs
+++ b/agent/src/holder.rs
@@ -1,6 +1,6 @@
-//! The machine's end of the launches: what it knows of each planner's, and what it says when it is asked twice.
-//! No I/O. A launch has one effect however often its frame comes; an older life of a planner is fenced off; an
-//! ending is said until the planner has noted it; an inventory holds everything that could still run.
+//! The machine's end of the launches: what it knows of each planner's, and what it says when it is asked
+//! twice. No I/O. A launch has one effect however often its frame comes; an older life of a planner is fenced
+//! off; an ending is said until the planner has noted it; an inventory holds everything that could still run.
 use std::collections::BTreeMap;
 
 /// A planner's epoch and the number of a launch in it.
@@ -63,8 +63,8 @@
 }
 
 impl<P: Ord + Clone, D: Clone> Holder<P, D> {
-    /// A planner says hello. False: it is an older life, or an older link, of one that was here since. On true
-    /// every older link is out of use, and what its earlier life left in the line of offers is dropped.
+    /// A planner says hello. False: it is an older life, or an older link, of one that was here since. On
+    /// true every older link is out of use, and what its earlier life left in the line of offers is dropped.
     pub fn hello(&mut self, planner: &P, epoch: u64, link: u64) -> bool {
         let new = || Side { epoch, link, launches: BTreeMap::new() };
         let side = self.sides.entry(planner.clone()).or_insert_with(new);
--- a/agent/src/link.rs
+++ b/agent/src/link.rs
@@ -51,8 +51,8 @@
 /// Bytes that are read at once.
 const READ: usize = 16 * 1024;
 
-/// Runs a session over a stream until it ends. Orders come and news go by bounded channels; while the owner does
-/// not take the news, the peer is granted nothing more.
+/// Runs a session over a stream until it ends. Orders come and news go by bounded channels; while the owner
+/// does not take the news, the peer is granted nothing more.
 pub async fn run<S, N>(
     mut stream: S,
     me: Party,
--- a/agent/src/session.rs
+++ b/agent/src/session.rs
@@ -1,7 +1,7 @@
-//! One conversation of the agent protocol, without I/O: clock and bytes in, events and bytes out.
-//! The same machine serves all roles. It says hello, keeps heartbeats and credits, judges silence, refuses what
-//! is no frame, and knows of each frame that its caller marked whether a byte of it was handed to the stream:
-//! only what was not is proved never to have been received. Times are whole microseconds.
+//! One conversation of the agent protocol, without I/O: clock and bytes in, events and bytes out. The same
+//! machine serves all roles. It says hello, keeps heartbeats and credits, judges silence, refuses what is no
+//! frame, and knows of each frame that its caller marked whether a byte of it was handed to the stream: only
+//! what was not is proved never to have been received. Times are whole microseconds.
 use crate::health::{Health, State};
 use crate::wire::{Body, Credit, Frame, Goodbye, Heartbeat, Hello, Role};
 use crate::{MOST_FRAME, VERSION};
--- a/audit/src/laws.rs
+++ b/audit/src/laws.rs
@@ -1,6 +1,7 @@
-//! Clauses of an installation judged from the traffic. This shares no code with the planner's reading, compiling or keeping
-//! of them: laws are plain tests over what stands on machines when a launch arrives. Only a planner's own tasks count, as
-//! planners share nothing. A skew is not judged: it hangs on which machines a planner believed ready.
+//! Clauses of an installation judged from the traffic. This shares no code with the planner's reading,
+//! compiling or keeping of them: laws are plain tests over what stands on machines when a launch arrives.
+//! Only a planner's own tasks count, as planners share nothing. A skew is not judged: it hangs on which
+//! machines a planner believed ready.
 use crate::Spot;
 use basaltpitch_agent::wire::Launch;
 
--- a/audit/src/lib.rs
+++ b/audit/src/lib.rs
@@ -1,6 +1,7 @@
-//! The auditor: judges the five rules from the traffic that machines, the register and owners saw, never from a
-//! planner's own words. It shares no rule code with the planner. Times are whole microseconds of one clock, that of
-//! the process in which all stand-ins live; a frame counts from when its last byte was read, or written.
+//! The auditor: judges the five rules from the traffic that machines, the register and owners saw, never from
+//! a planner's own words. It shares no rule code with the planner. Times are whole microseconds of one clock,
+//! that of the process in which all stand-ins live; a frame counts from when its last byte was read, or
+//! written.
 pub mod laws;
 
 use crate::laws::{Law, Standing};
@@ -114,8 +115,8 @@
     by_id: HashMap<(Life, u64), AskId>,
     service: HashMap<(Life, u64), (u64, String)>,
     spots: HashMap<String, Spot>,
-    /// When a planner was told that a machine drains or is gone, by the register and by the machine itself: each
-    /// takes back its own word only.
+    /// When a planner was told that a machine drains or is gone, by the register and by the machine itself:
+    /// each takes back its own word only.
     told: HashMap<(Life, String), [Option<i64>; 2]>,
     listed: HashMap<Life, HashSet<String>>,
     started: HashMap<String, i64>,
@@ -290,7 +291,8 @@
                 self.say((life.clone(), machine.to_owned()), 1, i.draining.then_some(at));
                 let there: HashSet<u64> =
                     i.held.iter().filter_map(|h| Some(h.launch.as_ref()?.id?.number)).collect();
-                // A launch that was read before and is not in it has ended, or was never taken in: it runs no more.
+                // A launch that was read before and is not in it has ended, or was never taken in: it runs no
+                // more.
                 let open = self.open_on.remove(&(life.clone(), machine.to_owned())).unwrap_or_default();
                 for (ask, number) in open {
                     let sent = &mut self.launches.get_mut(&ask).expect("kept together")[number];
@@ -462,8 +464,8 @@
         }
     }
 
-    /// Clauses, by what stands of this planner's tasks now. One that must be with others may have been sent while they
-    /// still stood.
+    /// Clauses, by what stands of this planner's tasks now. One that must be with others may have been sent
+    /// while they still stood.
     fn judge_laws(&mut self, at: i64, machine: &str, life: &Life, l: &Launch) {
         if self.laws.is_empty() {
             return;
--- a/clauses/src/conflict.rs
+++ b/clauses/src/conflict.rs
@@ -1,6 +1,7 @@
-//! Whether any machine of the known fleet could ever take a task, and if none could, a smallest set of clauses that says so:
-//! none of them can be left out. What runs now does not count here, as it ends: a task that is kept out by others, by full
-//! machines or by machines that are down waits. Work is bounded in steps, and an end for want of steps is said.
+//! Whether any machine of the known fleet could ever take a task, and if none could, a smallest set of
+//! clauses that says so: none of them can be left out. What runs now does not count here, as it ends: a task
+//! that is kept out by others, by full machines or by machines that are down waits. Work is bounded in steps,
+//! and an end for want of steps is said.
 use crate::{Clause, Level, Machine, Rule, Scope, Task};
 use std::collections::BTreeSet;
 
@@ -41,7 +42,8 @@
         }
     }
 
-    /// Whether the clauses let some machine like `m` have the task, with those that it must be with somewhere near.
+    /// Whether the clauses let some machine like `m` have the task, with those that it must be with somewhere
+    /// near.
     fn meets(&mut self, among: &BTreeSet<usize>, whom: &Whom, m: usize, depth: u32) -> Option<bool> {
         let clauses = self.clauses;
         let binds = |c: &Clause| match whom {
@@ -123,8 +125,8 @@
     }
 }
 
-/// Why no machine of a fleet could ever take a task; `None`: one could, or the steps ended before that was known, and then
-/// the task waits as if one could.
+/// Why no machine of a fleet could ever take a task; `None`: one could, or the steps ended before that was
+/// known, and then the task waits as if one could.
 pub fn conflict<'a>(
     clauses: &[Clause],
     fleet: impl Iterator<Item = &'a Machine>,
--- a/clauses/src/deciding.rs
+++ b/clauses/src/deciding.rs
@@ -1,6 +1,7 @@
-//! Which machines are allowed for whom, kept by the change. Tasks that the same clauses bind in the same way form a group;
-//! a group holds, for each machine, how many of its clauses forbid it, so that a question is one look-up. A change (a task
-//! placed or over, a machine listed, down, ready, gone) touches only the clauses that watch the place where it happened.
+//! Which machines are allowed for whom, kept by the change. Tasks that the same clauses bind in the same way
+//! form a group; a group holds, for each machine, how many of its clauses forbid it, so that a question is
+//! one look-up. A change (a task placed or over, a machine listed, down, ready, gone) touches only the
+//! clauses that watch the place where it happened.
 use crate::{By, Clause, Gone, Level, Machine, Rule, Scope, Task, Which};
 use fnv::FnvHashMap;
 use std::collections::VecDeque;
@@ -82,7 +83,8 @@
     test: Test,
     forbids: Vec<bool>,
     groups: Vec<usize>,
-    /// Of a spread with a skew: machines that count by place, which they are, and the fewest tasks in a place that counts.
+    /// Of a spread with a skew: machines that count by place, which they are, and the fewest tasks in a place
+    /// that counts.
     counting: Vec<u32>,
     counted: Vec<Option<usize>>,
     fewest: u32,
@@ -152,7 +154,8 @@
             by_key,
             copies: FnvHashMap::default(),
         };
-        // Tallies that are not of one service stand from the start: tasks count before anybody asks about them.
+        // Tallies that are not of one service stand from the start: tasks count before anybody asks about
+        // them.
         for clause in d.clauses.clone() {
             match &clause.rule {
                 Rule::With(s, level) => {
@@ -204,7 +207,8 @@
 
     // Machines.
 
-    /// A machine as it is listed now. The same index may be another machine's later, once nothing counts on it.
+    /// A machine as it is listed now. The same index may be another machine's later, once nothing counts on
+    /// it.
     pub fn machine(&mut self, m: usize, facts: Machine, state: State) {
         if m >= self.machines.len() {
             self.machines.resize(m + 1, None);
@@ -614,7 +618,8 @@
             .any(|(b, k)| *b == 0 && k.as_ref().is_some_and(|k| k.state != State::Gone))
     }
 
-    /// How well wishes are met on a machine; more is better. A wish of a higher rank weighs more than all below it.
+    /// How well wishes are met on a machine; more is better. A wish of a higher rank weighs more than all
+    /// below it.
     pub fn wishes(&self, g: usize, m: usize) -> u64 {
         let soft = &self.groups[g].soft;
         soft.iter().take(64).fold(0, |all, &b| 2 * all + u64::from(!self.bounds[b].forbids[m]))
--- a/clauses/src/lib.rs
+++ b/clauses/src/lib.rs
@@ -1,6 +1,7 @@
-//! Clauses on where tasks may run. `read` takes them out of an installation's records and finds what makes no sense before
-//! anything runs; `deciding` keeps, for each group of tasks that the same clauses bind, which machines are allowed, mended by
-//! each change; `conflict` names a smallest set of clauses that no machine of the known fleet can meet. No I/O, no clock.
+//! Clauses on where tasks may run. `read` takes them out of an installation's records and finds what makes no
+//! sense before anything runs; `deciding` keeps, for each group of tasks that the same clauses bind, which
+//! machines are allowed, mended by each change; `conflict` names a smallest set of clauses that no machine of
+//! the known fleet can meet. No I/O, no clock.
 //!
 //! What a clause means, in plain words, is in `docs/protocol/clauses.md`; the types here are its grammar.
 pub mod conflict;
@@ -72,7 +73,8 @@
     Hall,
 }
 
-/// Machines by what is listed of them. Each list that is not empty must name the machine's; of labels it must have one.
+/// Machines by what is listed of them. Each list that is not empty must name the machine's; of labels it must
+/// have one.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Which {
     pub kinds: Vec<String>,
--- a/clauses/src/read.rs
+++ b/clauses/src/read.rs
@@ -1,6 +1,6 @@
-//! Takes clauses out of an installation's records. What types alone do not find is found here, with both places: names that
-//! stand for nothing, a rack of no hall, a spread of nothing, clauses that can never hold together, and one that another
-//! swallows.
+//! Takes clauses out of an installation's records. What types alone do not find is found here, with both
+//! places: names that stand for nothing, a rack of no hall, a spread of nothing, clauses that can never hold
+//! together, and one that another swallows.
 use crate::{By, Clause, Gone, Level, Rule, Scope, Which};
 use basaltpitch_records::{Fault, Plain, Settled};
 
--- a/clauses/tests/plain.rs
+++ b/clauses/tests/plain.rs
@@ -1,5 +1,6 @@
-//! The compiled form beside a plain evaluator of what clauses mean, on drawn clauses, fleets and days; conflicts beside brute
-//! force on small fleets. The evaluator shares the grammar's types with the compiler and nothing else.
+//! The compiled form beside a plain evaluator of what clauses mean, on drawn clauses, fleets and days;
+//! conflicts beside brute force on small fleets. The evaluator shares the grammar's types with the compiler
+//! and nothing else.
 use basaltpitch_clauses::conflict::conflict;
 use basaltpitch_clauses::deciding::{Deciding, State};
 use basaltpitch_clauses::{By, Clause, Gone, Level, Machine, Rule, Scope, Task, Which};
@@ -236,7 +237,8 @@
     }
 }
 
-/// Whether some placing of the task and of one helper for each clause `with` meets the clauses, tried one by one.
+/// Whether some placing of the task and of one helper for each clause `with` meets the clauses, tried one by
+/// one.
 fn possible(clauses: &[&Clause], fleet: &[Machine], t: &Task) -> bool {
     let fixed = |binds: &dyn Fn(&Clause) -> bool, m: usize| {
         clauses.iter().filter(|c| binds(c)).all(|c| match &c.rule {
@@ -281,8 +283,9 @@
         task in task(),
     ) {
         let clauses: Vec<Clause> = clauses.into_iter().map(|c| Clause { wish: None, ..c }).collect();
+        let waits = |d: &Clause, s: &Scope| matches!(d.rule, Rule::With(..)) && d.of.covers(s);
         let helps = |c: &Clause| match &c.rule {
-            Rule::With(s, _) => clauses.iter().any(|d| matches!(d.rule, Rule::With(..)) && d.of.covers(s) && !d.of.matches(&task)) || clauses.iter().any(|d| matches!(d.rule, Rule::With(..)) && d.of.covers(s)),
+            Rule::With(s, _) => clauses.iter().any(|d| waits(d, s)),
             _ => false,
         };
         prop_assume!(!clauses.iter().any(helps));
--- a/clauses/tests/reading.rs
+++ b/clauses/tests/reading.rs
@@ -143,8 +143,8 @@
     );
 }
 
-/// A hall goes, comes back and goes again with tasks in it: the spread is over the halls that live, and nothing that was
-/// counted is counted twice or lost.
+/// A hall goes, comes back and goes again with tasks in it: the spread is over the halls that live, and
+/// nothing that was counted is counted twice or lost.
 #[test]
 fn a_hall_gone_back_and_gone_again() {
     for (gone, free_then) in [("live", true), ("keeps", false)] {
--- a/cli/src/constraints.rs
+++ b/cli/src/constraints.rs
@@ -15,7 +15,8 @@
     Explain(Explain),
     /// What the clauses of changed files would break of what runs
     Diff(Changed),
-    /// Let the clauses of changed files bind, whole or not at all. The planner reads its own files when it starts
+    /// Let the clauses of changed files bind, whole or not at all. The planner reads its own files when it
+    /// starts
     Take(Changed),
 }
 
@@ -53,7 +54,8 @@
                 let clauses = clauses_of(&load(&files)?, &files)?;
                 let rows = clauses.iter().map(|(c, place)| {
                     let how = c.wish.map_or("must".to_owned(), |rank| format!("prefer {rank}"));
-                    serde_json::json!({"clause": place, "how": how, "rule": serde_json::to_value(&c.rule).unwrap_or_default()})
+                    let rule = serde_json::to_value(&c.rule).unwrap_or_default();
+                    serde_json::json!({"clause": place, "how": how, "rule": rule})
                 });
                 show(&rows.collect(), json);
                 Ok(())
--- a/cli/src/measure.rs
+++ b/cli/src/measure.rs
@@ -1,6 +1,6 @@
 //! `basaltpitch measure`: what one planner carries end to end, beside the bare decisions on the same events.
-//! The planner is a process of its own; machines, a register and owners are light ones on other threads, which answer
-//! at once. Loads are open loops: arrivals come by the clock, and a wait before sending counts.
+//! The planner is a process of its own; machines, a register and owners are light ones on other threads,
+//! which answer at once. Loads are open loops: arrivals come by the clock, and a wait before sending counts.
 #[path = "measure_tenants.rs"]
 mod tenants;
 
--- a/cli/src/measure_tenants.rs
+++ b/cli/src/measure_tenants.rs
@@ -1,6 +1,6 @@
-//! What learning tenants from a directory costs: two planners on one fleet, one of which learns, are loaded in turn, so
-//! that both meet the same machine and the same minute. Then the time from a change in the directory to a planner's
-//! knowledge of it, by each way of reading.
+//! What learning tenants from a directory costs: two planners on one fleet, one of which learns, are loaded
+//! in turn, so that both meet the same machine and the same minute. Then the time from a change in the
+//! directory to a planner's knowledge of it, by each way of reading.
 use super::{failed, local, on_thread, Arrivals, Load, Measure, Planner, Saw};
 use crate::ask::{question, At};
 use crate::Failure;
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -53,7 +53,8 @@
         let path = folder.join(format!("{}.store", self.name));
         let (store, found) = Store::open(&path).map_err(|e| wrong(e.to_string()))?;
         if let Found::SetAside { to, why } = found {
-            tracing::error!(file = %path.display(), to = %to.display(), why, "a file that cannot be read was set aside");
+            let (file, to) = (path.display(), to.display());
+            tracing::error!(%file, %to, why, "a file that cannot be read was set aside");
         }
         Ok(store)
     }
--- a/directory/src/entry.rs
+++ b/directory/src/entry.rs
@@ -1,5 +1,5 @@
-//! Reads one entry of the directory, with care: what is huge, doubled, missing or binary where text is wanted is an
-//! error that names the entry, the attribute, what was found and what was expected.
+//! Reads one entry of the directory, with care: what is huge, doubled, missing or binary where text is wanted
+//! is an error that names the entry, the attribute, what was found and what was expected.
 use basaltpitch_tenants::{Entry, Id, What};
 use std::collections::HashMap;
 
--- a/directory/src/lib.rs
+++ b/directory/src/lib.rs
@@ -1,9 +1,10 @@
-//! Sweeps of an LDAP directory (RFC 4511): binds, asks for people, groups and tenants, and hands over what came with
-//! whether it is all. An entry that makes no sense is left out and named, and the sweep is then not complete: what cannot
-//! be read is never read as a deletion. It decides nothing else.
+//! Sweeps of an LDAP directory (RFC 4511): binds, asks for people, groups and tenants, and hands over what
+//! came with whether it is all. An entry that makes no sense is left out and named, and the sweep is then not
+//! complete: what cannot be read is never read as a deletion. It decides nothing else.
 //!
-//! Three ways to read: everything, in pages (RFC 2696); a list of ids and stamps, and then only what differs from the
-//! last list; or content synchronisation (RFC 4533) from a cookie on, where the settings say that the servers offer it.
+//! Three ways to read: everything, in pages (RFC 2696); a list of ids and stamps, and then only what differs
+//! from the last list; or content synchronisation (RFC 4533) from a cookie on, where the settings say that
+//! the servers offer it.
 mod entry;
 mod settings;
 
@@ -33,7 +34,8 @@
     /// `ldap://` (with StartTLS where `starttls` is set) or `ldaps://`, in order.
     pub urls: Vec<String>,
     pub starttls: bool,
-    /// A file with the certificates (PEM) that vouch for the servers, read anew at each sweep; none: the system's.
+    /// A file with the certificates (PEM) that vouch for the servers, read anew at each sweep; none: the
+    /// system's.
     pub vouchers: Option<PathBuf>,
     pub bind_dn: String,
     /// The file that holds the password, read anew at each sweep, so that it may change in service.
@@ -97,8 +99,8 @@
     answered: Option<Box<dyn FnOnce()>>,
 }
 
-/// Sweeps one server. Pages that came before a break are handed over as an incomplete sweep. `answered` is called once something
-/// came.
+/// Sweeps one server. Pages that came before a break are handed over as an incomplete sweep. `answered` is
+/// called once something came.
 pub async fn sweep(
     source: &Source,
     server: usize,
@@ -152,7 +154,8 @@
     Ok(swept)
 }
 
-/// What comes next, unless the patience or the connection ends first. What came before the connection ended goes first.
+/// What comes next, unless the patience or the connection ends first. What came before the connection ended
+/// goes first.
 async fn within<T>(
     patience: Duration,
     ended: &mut watch::Receiver<bool>,
@@ -206,8 +209,8 @@
     hasher.finish()
 }
 
-/// Two changes within one tick of a server's clock bear one stamp: an entry with the newest of all stamps may change again
-/// under it, and is read again.
+/// Two changes within one tick of a server's clock bear one stamp: an entry with the newest of all stamps may
+/// change again under it, and is read again.
 fn settled(list: Vec<(Id, u64, String)>) -> Seen {
     let newest = list.iter().map(|x| x.2.clone()).max().unwrap_or_default();
     list.into_iter().filter(|x| x.2 != newest).map(|x| (x.0 .0, x.1)).collect()
@@ -376,7 +379,8 @@
                     match done {
                         Some(done) => {
                             swept.sweep.cookie = done.cookie;
-                            // Deletions were named, and all else is as it was; or all that is there was named.
+                            // Deletions were named, and all else is as it was; or all that is there was
+                            // named.
                             swept.sweep.gone = done.refresh_deletes.then(|| gone.into_iter().collect());
                         }
                         None => swept
--- a/directory/src/settings.rs
+++ b/directory/src/settings.rs
@@ -1,5 +1,6 @@
-//! The record `directory` of an installation's files: how a directory is reached, and what the decisions are told. What
-//! types alone do not find is checked here: addresses, filters, names and paces that make no sense together.
+//! The record `directory` of an installation's files: how a directory is reached, and what the decisions are
+//! told. What types alone do not find is checked here: addresses, filters, names and paces that make no sense
+//! together.
 use crate::{Names, Source};
 use basaltpitch_records::{Fault, Settled};
 use basaltpitch_tenants::health::Pace;
--- a/directory/tests/over_a_restart.rs
+++ b/directory/tests/over_a_restart.rs
@@ -1,4 +1,5 @@
-//! The whole way on loopback: a directory is swept, remembered in a store, goes away, and a successor serves on.
+//! The whole way on loopback: a directory is swept, remembered in a store, goes away, and a successor serves
+//! on.
 use basaltpitch_directory::{sweep, Before, Names, Source};
 use basaltpitch_standins::directory::{self, laid, Trouble};
 use basaltpitch_store::{Found, Store};
--- a/directory/tests/sweeps.rs
+++ b/directory/tests/sweeps.rs
@@ -1,4 +1,5 @@
-//! Sweeps of a stand-in directory on loopback, well and with each of its troubles; entries of every kind of nonsense.
+//! Sweeps of a stand-in directory on loopback, well and with each of its troubles; entries of every kind of
+//! nonsense.
 use basaltpitch_directory::{plain_dn, read, sweep, Before, Fault, Names, Raw, Source, Swept};
 use basaltpitch_standins::directory::{self, laid, Directory, Laid, Trouble};
 use basaltpitch_tenants::trust::{Trust, CAUTION};
@@ -88,7 +89,8 @@
     });
 }
 
-/// A connection that ends after any number of entries, within or between pages: what came counts, nobody is lost.
+/// A connection that ends after any number of entries, within or between pages: what came counts, nobody is
+/// lost.
 #[test]
 fn a_sweep_cut_anywhere_loses_no_tenant() {
     on_sockets(async {
--- a/directory/tests/ways.rs
+++ b/directory/tests/ways.rs
@@ -1,4 +1,5 @@
-//! The three ways to read a directory beside each other, under random edits and cuts; TLS; two servers that disagree.
+//! The three ways to read a directory beside each other, under random edits and cuts; TLS; two servers that
+//! disagree.
 use basaltpitch_directory::{filter_of_ids, sweep, Before, Fault, Names, Seen, Source};
 use basaltpitch_standins::directory::{self, laid, Directory, Laid, Shield, Trouble};
 use basaltpitch_tenants::health::Pace;
@@ -46,7 +47,8 @@
     }
 }
 
-/// A directory that changes by chance: version numbers of entries, and a clock of whole seconds that lags behind them.
+/// A directory that changes by chance: version numbers of entries, and a clock of whole seconds that lags
+/// behind them.
 struct There {
     all: BTreeMap<u32, (u32, String, Vec<u32>)>,
     clock: u32,
@@ -148,7 +150,8 @@
     }
 }
 
-/// Random edits, cuts and lost cookies: after each whole answer both agree; a cut one loses nobody that is there.
+/// Random edits, cuts and lost cookies: after each whole answer both agree; a cut one loses nobody that is
+/// there.
 async fn same_under_edits(sync: bool, seed: u64) {
     let there = directory::start("s").await.unwrap();
     let mut source = source(&format!("edits {sync}"), vec![format!("ldap://{}", there.address)]);
@@ -230,8 +233,8 @@
     });
 }
 
-/// The answers to a sweep end after each byte of them, in each way of reading: nobody who is there is lost, and unless all
-/// came it is not taken for all.
+/// The answers to a sweep end after each byte of them, in each way of reading: nobody who is there is lost,
+/// and unless all came it is not taken for all.
 #[test]
 fn a_page_cut_at_each_byte_loses_no_tenant() {
     on_sockets(async {
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -1,8 +1,8 @@
 //! The one record of each task, by the owner's key. No I/O and no clock of its own: what happened comes in as
-//! calls, what must be done goes out as `Act`s, in order. The ledger says which launch is out, what a late answer
-//! means, what a broken link proves, and that each asking gets exactly one final answer. Where a task goes is the
-//! placing module's; the ledger tells it of outcomes and carries out its calls.
-//! Times are whole microseconds; tasks and machines are the module's small indices.
+//! calls, what must be done goes out as `Act`s, in order. The ledger says which launch is out, what a late
+//! answer means, what a broken link proves, and that each asking gets exactly one final answer. Where a task
+//! goes is the placing module's; the ledger tells it of outcomes and carries out its calls. Times are whole
+//! microseconds; tasks and machines are the module's small indices.
 #![allow(clippy::too_many_arguments)]
 pub mod doubt;
 mod record;
@@ -112,8 +112,8 @@
     Stopped,
 }
 
-/// What must be done, in order. The first five go to the placing module, the last two to whoever counts copies, the rest to
-/// peers.
+/// What must be done, in order. The first five go to the placing module, the last two to whoever counts
+/// copies, the rest to peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Act<K> {
     Wanted {
@@ -310,8 +310,8 @@
     }
 
     /// The same for an asking that is to be declined at the door, and the time after which to ask again. A
-    /// repeat of an asking that is open or answered goes on, a task that runs is answered as placed, and what may have
-    /// run is not declined.
+    /// repeat of an asking that is open or answered goes on, a task that runs is answered as placed, and what
+    /// may have run is not declined.
     pub fn declined_at_door(&mut self, asking: Asking<K, J>, refusal: (Reason, i64), acts: &mut Vec<Act<K>>) {
         let (reason, retry_after_us) = refusal;
         let declined = Answer::Declined { retry_after_us, reason };
@@ -396,8 +396,8 @@
 
     // The placing module's calls.
 
-    /// The module launches a task. A task that ended in the same moment, of which the module has not heard yet,
-    /// is not launched: it hears that instead.
+    /// The module launches a task. A task that ended in the same moment, of which the module has not heard
+    /// yet, is not launched: it hears that instead.
     pub fn launched(&mut self, task: usize, machine: usize, time_out_us: i64, acts: &mut Vec<Act<K>>) {
         let slot = self.slots[task].as_mut().expect("the module launches tasks it was told of");
         let key = slot.key.clone();
@@ -465,8 +465,8 @@
 
     // Machines.
 
-    /// A machine accepted a launch. A late yes, after the launch was given up, is decided by the task's kind: a
-    /// repeatable copy is stopped, any other has come to stay and is found.
+    /// A machine accepted a launch. A late yes, after the launch was given up, is decided by the task's kind:
+    /// a repeatable copy is stopped, any other has come to stay and is found.
     pub fn yes(&mut self, launch: Launch, acts: &mut Vec<Act<K>>) {
         let Some(key) = self.launches.get(&launch).cloned() else { return };
         let record = self.records.get_mut(&key).expect("a launch has a record");
@@ -488,8 +488,8 @@
         }
     }
 
-    /// A copy that runs though nobody waited for it is the task's copy from now on: an open asking is answered
-    /// with it, and a launch that is out for that asking is called back.
+    /// A copy that runs though nobody waited for it is the task's copy from now on: an open asking is
+    /// answered with it, and a launch that is out for that asking is called back.
     fn adopt(&mut self, key: &K, launch: Launch, acts: &mut Vec<Act<K>>) {
         let record = &self.records[key];
         if record.phase.is_open() {
@@ -557,9 +557,9 @@
         self.doubted(launch, Outcome::TimedOut, acts);
     }
 
-    /// The link to a machine ended. `unsent` are launches of which no byte was handed over: they never ran. Any
-    /// other may have run. A repeatable one is given up at once; for the others the machine's next inventory is
-    /// waited for, as long as the launch's time lasts.
+    /// The link to a machine ended. `unsent` are launches of which no byte was handed over: they never ran.
+    /// Any other may have run. A repeatable one is given up at once; for the others the machine's next
+    /// inventory is waited for, as long as the launch's time lasts.
     pub fn link_cut(&mut self, machine: usize, unsent: &[u64], acts: &mut Vec<Act<K>>) {
         for launch in self.launches_on(machine) {
             let Some(copy) = self.copy(launch) else { continue };
@@ -795,7 +795,8 @@
         self.records.iter_mut().map(|(key, r)| (key, &mut r.job))
     }
 
-    /// Forgets answered records by age and by count. A record with a copy anywhere stays. Returns how many left.
+    /// Forgets answered records by age and by count. A record with a copy anywhere stays. Returns how many
+    /// left.
     pub fn forget(&mut self) -> usize {
         let mut left = 0;
         for _ in 0..self.closed.len() {
--- a/ledger/src/record.rs
+++ b/ledger/src/record.rs
@@ -111,8 +111,8 @@
         }
     }
 
-    /// Until when a new asking waits for what earlier launches did: a copy in doubt or stopping may still turn up,
-    /// and one that failed or was lost may have left something behind.
+    /// Until when a new asking waits for what earlier launches did: a copy in doubt or stopping may still
+    /// turn up, and one that failed or was lost may have left something behind.
     pub fn unsettled_until(&self, settle_us: i64) -> i64 {
         let copies = self.copies.iter().map(|c| c.since);
         let past = copies.chain(self.ran_at).chain(self.lost_at).max();
--- a/ledger/tests/every_state.rs
+++ b/ledger/tests/every_state.rs
@@ -1,6 +1,7 @@
-//! Every state that the ledger, the machines' ends and a hostile network can reach within bounds, for two machines and
-//! one task: no state breaks a rule. The placing module is replaced by one that may make any call that the module's
-//! rules allow; links may be cut at any point, with frames in the air lost, or late by a whole link.
+//! Every state that the ledger, the machines' ends and a hostile network can reach within bounds, for two
+//! machines and one task: no state breaks a rule. The placing module is replaced by one that may make any
+//! call that the module's rules allow; links may be cut at any point, with frames in the air lost, or late by
+//! a whole link.
 use basaltpitch::host::Outcome;
 use basaltpitch_agent::holder::{Holder, Say, State};
 use basaltpitch_ledger::{
@@ -248,7 +249,8 @@
         self.carry(acts);
     }
 
-    /// What was handed to the stream is in the air; the machine may still read it, until a newer link greets it.
+    /// What was handed to the stream is in the air; the machine may still read it, until a newer link greets
+    /// it.
     fn cut(&mut self, m: usize) {
         self.cuts += 1;
         let far = &mut self.far[m];
@@ -306,8 +308,8 @@
                     }),
                 }
             }
-            // The module may launch where its rules let it: keyed, only on the first machine's group, which is the
-            // machine itself here; once-only, only if nothing is unsure.
+            // The module may launch where its rules let it: keyed, only on the first machine's group, which
+            // is the machine itself here; once-only, only if nothing is unsure.
             if let Module::Waiting { unsure } = self.module {
                 let allowed = match kind {
                     Kind::Repeatable => true,
--- a/planner/benches/asked.rs
+++ b/planner/benches/asked.rs
@@ -1,5 +1,6 @@
-//! What it takes to find whether someone may submit for a tenant: a list in the settings, and a directory with so many people
-//! in tenants, each through groups nested five deep. `cargo bench -p basaltpitch-planner`.
+//! What it takes to find whether someone may submit for a tenant: a list in the settings, and a directory
+//! with so many people in tenants, each through groups nested five deep. `cargo bench -p
+//! basaltpitch-planner`.
 use basaltpitch_planner::tenancy::{Learnt, Tenancy, Ways};
 use basaltpitch_tenants::health::PACE;
 use basaltpitch_tenants::rights::Terms;
--- a/planner/src/bounds.rs
+++ b/planner/src/bounds.rs
@@ -1,5 +1,5 @@
-//! The installation's clauses as the placing module's hands hold them: which group each open task is in, and which copies
-//! count where. It decides nothing: `basaltpitch_clauses` does.
+//! The installation's clauses as the placing module's hands hold them: which group each open task is in, and
+//! which copies count where. It decides nothing: `basaltpitch_clauses` does.
 use basaltpitch_clauses::conflict::conflict;
 use basaltpitch_clauses::deciding::{Deciding, State};
 use basaltpitch_clauses::{Clause, Machine, Task};
@@ -22,7 +22,8 @@
     Free,
     /// None is allowed now, and one could be: what runs keeps it out.
     KeptOut,
-    /// No machine that is known could ever take it: the clauses that say so, and whether none can be left out.
+    /// No machine that is known could ever take it: the clauses that say so, and whether none can be left
+    /// out.
     Never { clauses: Vec<usize>, smallest: bool },
 }
 
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -1,7 +1,7 @@
-//! One planner without I/O: frames and the passing of time come in, frames to send go out. It holds the placing
-//! module with the ledger in its hands, knows peers by small indices, and decides nothing itself: the module
-//! places, the ledger says what an answer means, `standing` whether a machine is offered work, `dial` when
-//! to connect. Times are whole microseconds.
+//! One planner without I/O: frames and the passing of time come in, frames to send go out. It holds the
+//! placing module with the ledger in its hands, knows peers by small indices, and decides nothing itself: the
+//! module places, the ledger says what an answer means, `standing` whether a machine is offered work, `dial`
+//! when to connect. Times are whole microseconds.
 use crate::bounds::{Bounds, Stands};
 use crate::hands::{Due, Hands, Job, Key, Wish};
 use crate::recording::Recorder;
@@ -260,7 +260,8 @@
 
     // Clauses.
 
-    /// From now on clauses bind, with a name and place of each for answers. To be called before anything else comes.
+    /// From now on clauses bind, with a name and place of each for answers. To be called before anything else
+    /// comes.
     pub fn bind(&mut self, clauses: Vec<Clause>, places: Vec<String>) {
         self.clauses = places;
         if !clauses.is_empty() {
@@ -513,8 +514,8 @@
         self.settle();
     }
 
-    /// A frame of the register's. An error names field, what was found and what was expected; nothing of the list
-    /// is taken in then.
+    /// A frame of the register's. An error names field, what was found and what was expected; nothing of the
+    /// list is taken in then.
     pub fn register_frame(&mut self, now: i64, body: Body) -> Result<(), String> {
         self.set_clock(now);
         let Body::List(list) = body else {
@@ -598,7 +599,8 @@
         m
     }
 
-    /// The list has a machine no longer: no new connection is made. What is on it is lost once no link stands.
+    /// The list has a machine no longer: no new connection is made. What is on it is lost once no link
+    /// stands.
     fn off_list(&mut self, m: usize) {
         self.dials.forget(m);
         let now = self.now();
--- a/planner/src/lib.rs
+++ b/planner/src/lib.rs
@@ -1,6 +1,7 @@
-//! The planner service. `core` is one planner without I/O: it holds the placing module, the ledger, the indices and
-//! the timers, and turns what comes from peers into calls and what is decided into frames. `service` puts it on
-//! sockets, on one thread. `told` is what the module is told, as it is recorded and replayed.
+//! The planner service. `core` is one planner without I/O: it holds the placing module, the ledger, the
+//! indices and the timers, and turns what comes from peers into calls and what is decided into frames.
+//! `service` puts it on sockets, on one thread. `told` is what the module is told, as it is recorded and
+//! replayed.
 pub mod bounds;
 pub mod core;
 pub mod hands;
--- a/planner/src/recording.rs
+++ b/planner/src/recording.rs
@@ -65,8 +65,8 @@
     }
 }
 
-/// Writes a recording beside the planner's thread. When the disk is full or too slow the recording ends with one
-/// error, and the planner serves on: a recording with a gap would replay nothing.
+/// Writes a recording beside the planner's thread. When the disk is full or too slow the recording ends with
+/// one error, and the planner serves on: a recording with a gap would replay nothing.
 pub struct Recorder {
     pieces: Option<SyncSender<String>>,
     piece: String,
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -1,6 +1,6 @@
-//! A planner on sockets: one thread, one actor that owns the core, a task a connection. Queues are bounded: what
-//! machines and the register say is read before what owners ask; while the actor is behind, links grant their peers
-//! nothing more. A peer that does not read is cut off, and may come back and ask again.
+//! A planner on sockets: one thread, one actor that owns the core, a task a connection. Queues are bounded:
+//! what machines and the register say is read before what owners ask; while the actor is behind, links grant
+//! their peers nothing more. A peer that does not read is cut off, and may come back and ask again.
 use crate::core::{Core, Out, Who, REGISTER};
 use crate::tenancy::{Learnt, Task, Ways};
 use basaltpitch::host::Given;
@@ -123,7 +123,8 @@
     memories
 }
 
-/// What is remembered of tenants, with the time when it was last heard in full. What cannot be read is named and left.
+/// What is remembered of tenants, with the time when it was last heard in full. What cannot be read is named
+/// and left.
 fn remembered(store: &Store) -> Option<(i64, Vec<u8>)> {
     let get = |name| {
         store.get(name, FORMAT).unwrap_or_else(|e| {
@@ -394,8 +395,8 @@
         }
     }
 
-    /// Hands frames to links and dials. What a link does not take is told to the core at once, or, to an owner
-    /// who does not read, ends the connection: it may ask again and gets the same answer.
+    /// Hands frames to links and dials. What a link does not take is told to the core at once, or, to an
+    /// owner who does not read, ends the connection: it may ask again and gets the same answer.
     fn carry_out(&mut self) {
         while let Some(out) = self.core.next_out() {
             match out {
--- a/planner/src/standing.rs
+++ b/planner/src/standing.rs
@@ -1,9 +1,10 @@
-//! Whether a machine is offered work: what the list says, what the machine itself says, and how its link stands,
-//! taken together. No I/O; times are whole microseconds.
+//! Whether a machine is offered work: what the list says, what the machine itself says, and how its link
+//! stands, taken together. No I/O; times are whole microseconds.
 //!
 //! A machine is offered work only while the list has it ready, its link stands and is not suspect, and its
-//! inventory has come: before that, launches of an earlier life of this planner could be on it unseen. A start
-//! newer than the known one means that what was on the machine runs no more, whichever source told of it first.
+//! inventory has come: before that, launches of an earlier life of this planner could be on it unseen. A
+//! start newer than the known one means that what was on the machine runs no more, whichever source told of
+//! it first.
 use basaltpitch::host::{Place, Readiness, Room};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/planner/src/tenancy.rs
+++ b/planner/src/tenancy.rs
@@ -1,6 +1,7 @@
-//! What a planner knows of tenants: a list in its settings, or what it learns from a directory. No I/O: it says when
-//! which server is to be swept and what is to be remembered, and finds for each asking whether it may go on and on what
-//! that rests. What is believed, how fresh it is and who may do what is decided in the package `tenants`.
+//! What a planner knows of tenants: a list in its settings, or what it learns from a directory. No I/O: it
+//! says when which server is to be swept and what is to be remembered, and finds for each asking whether it
+//! may go on and on what that rests. What is believed, how fresh it is and who may do what is decided in the
+//! package `tenants`.
 use basaltpitch_ledger::Reason;
 use basaltpitch_tenants::health::{Pace, State};
 use basaltpitch_tenants::keeper::Keeper;
@@ -88,7 +89,8 @@
         }
     }
 
-    /// A sweep ended; `lacks` says why it brought less than all. One that was given up says nothing any more: none.
+    /// A sweep ended; `lacks` says why it brought less than all. One that was given up says nothing any more:
+    /// none.
     pub fn swept(
         &mut self,
         now: i64,
--- a/planner/src/told.rs
+++ b/planner/src/told.rs
@@ -1,5 +1,5 @@
-//! What the placing module is told, one value for each of its methods, so that it can be written down and told
-//! again. Numbers of outcomes and states are those of the file format, in `docs/design/agent-path.md`.
+//! What the placing module is told, one value for each of its methods, so that it can be written down and
+//! told again. Numbers of outcomes and states are those of the file format, in `docs/design/agent-path.md`.
 use basaltpitch::host::{Host, Outcome, Readiness};
 use basaltpitch::logic::Planner;
 use serde::{Deserialize, Serialize};
--- a/planner/src/view.rs
+++ b/planner/src/view.rs
@@ -11,8 +11,8 @@
     (x * 1000.0).round() / 1000.0
 }
 
-/// Answers a question: `planner`, `machines`, `tasks` (all open and placed ones that the login may see), `task` about one
-/// key, or one about tenants: `tenants`, `tenant`, `members`, `why` or `directory`.
+/// Answers a question: `planner`, `machines`, `tasks` (all open and placed ones that the login may see),
+/// `task` about one key, or one about tenants: `tenants`, `tenant`, `members`, `why` or `directory`.
 pub fn answer(core: &Core, login: &str, what: &str, about: &str) -> Result<String, String> {
     let value = match what {
         "planner" => planner(core),
@@ -36,8 +36,8 @@
     Ok(value.to_string())
 }
 
-/// How clauses stand to a task. `about` is JSON: `key` of a known task, or `framework`, `tenant`, `service` of one that
-/// might be; `machines` for each machine, too.
+/// How clauses stand to a task. `about` is JSON: `key` of a known task, or `framework`, `tenant`, `service`
+/// of one that might be; `machines` for each machine, too.
 pub fn explain(core: &mut Core, login: &str, about: &str) -> Result<String, String> {
     let asked: Value = serde_json::from_str(about)
         .map_err(|e| format!("explain: found {e}; expected JSON with a key, or a framework and a service"))?;
--- a/planner/tests/clauses.rs
+++ b/planner/tests/clauses.rs
@@ -1,5 +1,6 @@
-//! A whole planner under a made-up clock that keeps clauses, with the auditor on: each send is checked against the clauses by
-//! counting what stands on machines then; conflicts are named at once, and what is only kept out waits.
+//! A whole planner under a made-up clock that keeps clauses, with the auditor on: each send is checked
+//! against the clauses by counting what stands on machines then; conflicts are named at once, and what is
+//! only kept out waits.
 mod net;
 
 use basaltpitch_agent::wire::{self, AnswerKind, Body};
@@ -139,7 +140,8 @@
     assert_eq!(net.finish().0, []);
 }
 
-/// Clauses change in service: what they would break is told first, what runs runs on, and new tasks are bound.
+/// Clauses change in service: what they would break is told first, what runs runs on, and new tasks are
+/// bound.
 #[test]
 fn other_clauses_are_taken_whole() {
     let old = "{name: \"ssd\", of: {framework: \"small\"}, in: {labels: [\"ssd\"]}}";
--- a/planner/tests/hard_cases.rs
+++ b/planner/tests/hard_cases.rs
@@ -18,8 +18,8 @@
     line.rsplit('m').next().and_then(|n| n.parse().ok()).expect("a machine's number")
 }
 
-/// Heartbeats stop while a keyed launch is in flight: the machine took it in, its yes is lost with the link. Nothing is
-/// launched until the next inventory says that it runs; the one answer is that it is placed there.
+/// Heartbeats stop while a keyed launch is in flight: the machine took it in, its yes is lost with the link.
+/// Nothing is launched until the next inventory says that it runs; the one answer is that it is placed there.
 #[test]
 fn a_keyed_launch_in_flight_when_heartbeats_stop_is_found() {
     let mut net = Net::new(4);
@@ -45,8 +45,8 @@
     );
 }
 
-/// The same, but the link stays away: the patience of the launch ends, a further launch goes to the same hall only,
-/// and is the task's copy. The first one, which runs too, is stopped once its machine comes back.
+/// The same, but the link stays away: the patience of the launch ends, a further launch goes to the same hall
+/// only, and is the task's copy. The first one, which runs too, is stopped once its machine comes back.
 #[test]
 fn a_keyed_launch_that_nobody_hears_of_is_repeated_in_its_hall_only() {
     let mut net = Net::new(4);
@@ -74,7 +74,8 @@
     );
 }
 
-/// A once-only launch whose link broke is never repeated; the inventory proves that it never ran, and it goes on.
+/// A once-only launch whose link broke is never repeated; the inventory proves that it never ran, and it goes
+/// on.
 #[test]
 fn a_once_only_launch_goes_on_only_by_proof() {
     let mut net = Net::new(2);
@@ -190,8 +191,8 @@
     );
 }
 
-/// The planner dies with launches out. Its successor gets the running ones back from inventories; an owner that
-/// asks again for one is told where it runs, and nothing is launched for it.
+/// The planner dies with launches out. Its successor gets the running ones back from inventories; an owner
+/// that asks again for one is told where it runs, and nothing is launched for it.
 #[test]
 fn a_killed_planners_successor_finds_what_runs() {
     let mut net = Net::new(2);
@@ -230,8 +231,8 @@
     );
 }
 
-/// A machine comes back with a newer start while its old connection still looks alive: the list tells of it, the old
-/// link is hung up, what ran there is lost, and cold offers stay within the budget.
+/// A machine comes back with a newer start while its old connection still looks alive: the list tells of it,
+/// the old link is hung up, what ran there is lost, and cold offers stay within the budget.
 #[test]
 fn a_newer_start_ends_a_link_that_looks_alive() {
     let mut net = Net::new(2);
--- a/planner/tests/hostile.rs
+++ b/planner/tests/hostile.rs
@@ -1,5 +1,5 @@
-//! A hostile network drawn by chance: whatever it does, the five rules hold, and once it is well again every asking
-//! has its one answer. A failing case prints what was drawn, and replays.
+//! A hostile network drawn by chance: whatever it does, the five rules hold, and once it is well again every
+//! asking has its one answer. A failing case prints what was drawn, and replays.
 mod net;
 use basaltpitch_agent::wire::EndedHow;
 use net::{Net, BIG, ONCE, SMALL};
--- a/planner/tests/net/mod.rs
+++ b/planner/tests/net/mod.rs
@@ -1,6 +1,6 @@
-//! A made-up network under a made-up clock: one planner's core, machines with the protocol's own holder, links that can
-//! be cut, delayed and reordered across reconnects. Every frame is shown to the auditor in the order in which the
-//! planner wrote or read it, so that it judges without slack.
+//! A made-up network under a made-up clock: one planner's core, machines with the protocol's own holder,
+//! links that can be cut, delayed and reordered across reconnects. Every frame is shown to the auditor in the
+//! order in which the planner wrote or read it, so that it judges without slack.
 #![allow(dead_code)]
 use basaltpitch::host::{Given, Value};
 use basaltpitch_agent::holder::{Holder, Id, Say, State};
@@ -561,7 +561,8 @@
         self.carry();
     }
 
-    /// All goes well for so many rounds of a millisecond: links come up, frames flow, machines look at offers.
+    /// All goes well for so many rounds of a millisecond: links come up, frames flow, machines look at
+    /// offers.
     pub fn flow(&mut self, rounds: usize) {
         for _ in 0..rounds {
             self.pass(1_000);
--- a/planner/tests/sockets.rs
+++ b/planner/tests/sockets.rs
@@ -1,5 +1,5 @@
-//! A planner on real sockets, beside stand-ins in the same process. Nothing waits for luck: each test waits for the
-//! frame that it wants, within a bound.
+//! A planner on real sockets, beside stand-ins in the same process. Nothing waits for luck: each test waits
+//! for the frame that it wants, within a bound.
 use basaltpitch::host::{Given, Value};
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Party};
--- a/records/src/installation.rs
+++ b/records/src/installation.rs
@@ -1,5 +1,5 @@
-//! An installation's files: their types, what types alone don't find, and how they lay out into the dotted names
-//! that the placing module reads.
+//! An installation's files: their types, what types alone don't find, and how they lay out into the dotted
+//! names that the placing module reads.
 use crate::{read, Fault, Plain, Settled, Sources, Span};
 use std::collections::HashMap;
 use std::path::Path;
--- a/records/src/lib.rs
+++ b/records/src/lib.rs
@@ -1,7 +1,7 @@
-//! CUE-like typed records: values, types and bounds are written alike, and several files are unified into one.
-//! `syntax` reads text, `unify` puts values together, `installation` holds the types of a planner's files and of
-//! days of trouble, and lays them out. Every error names file and line, what was found and what was expected,
-//! and the other side of a conflict.
+//! CUE-like typed records: values, types and bounds are written alike, and several files are unified into
+//! one. `syntax` reads text, `unify` puts values together, `installation` holds the types of a planner's
+//! files and of days of trouble, and lays them out. Every error names file and line, what was found and what
+//! was expected, and the other side of a conflict.
 pub mod installation;
 pub mod syntax;
 pub mod unify;
--- a/records/src/unify.rs
+++ b/records/src/unify.rs
@@ -1,5 +1,6 @@
-//! Puts values together: two that say the same or narrow one another become one; two that differ are a conflict
-//! with both places named. A record that comes from a definition (`#Name`) is closed: it takes no other fields.
+//! Puts values together: two that say the same or narrow one another become one; two that differ are a
+//! conflict with both places named. A record that comes from a definition (`#Name`) is closed: it takes no
+//! other fields.
 use crate::syntax::{Compare, Expr, Is, Type};
 use crate::{Fault, Plain, Settled, Span};
 use indexmap::IndexMap;
@@ -33,7 +34,8 @@
 /// Definitions by name, of all files.
 type Defined = HashMap<String, Vec<Expr>>;
 
-/// Unifies files with the definition `schema`, and settles the rest: defaults are taken, and nothing may be open.
+/// Unifies files with the definition `schema`, and settles the rest: defaults are taken, and nothing may be
+/// open.
 pub fn settle(files: Vec<Expr>, schema: &str) -> Result<Settled, Vec<Fault>> {
     let mut defined = Defined::new();
     let mut plain = Vec::new();
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -394,8 +394,8 @@
             }
         }
         let mut fits = if fits.is_empty() { crowded } else { fits };
-        // Of the fitting machines those that suit best; of these the most wished for, the service's homes, then
-        // the fullest.
+        // Of the fitting machines those that suit best; of these the most wished for, the service's homes,
+        // then the fullest.
         let first = fits.iter().map(|x| x.2 >> 2).max().unwrap_or(0);
         fits.retain(|x| x.2 >> 2 == first);
         let wishes: Vec<u64> = fits.iter().map(|x| self.host.wishes(task, x.0)).collect();
--- a/standins/src/directory.rs
+++ b/standins/src/directory.rs
@@ -1,5 +1,5 @@
-//! A stand-in LDAP directory on loopback, with faults on command. It serves what is laid into it: in pages, and by content
-//! synchronisation; in the clear, over TLS, or after StartTLS.
+//! A stand-in LDAP directory on loopback, with faults on command. It serves what is laid into it: in pages,
+//! and by content synchronisation; in the clear, over TLS, or after StartTLS.
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
 use ldap3_proto::control::LdapControl;
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -1,5 +1,5 @@
-//! A drill: planners as processes of their own, stand-ins for all else in this one, a scripted day of trouble, and a
-//! verdict by the traffic on the sockets.
+//! A drill: planners as processes of their own, stand-ins for all else in this one, a scripted day of
+//! trouble, and a verdict by the traffic on the sockets.
 use crate::day::{self, Load, Planners, Stage};
 use crate::feast::{Feast, NEWCOMER};
 use crate::machine::{self, Manners, World};
@@ -56,8 +56,8 @@
     pub placed_ms: Percentiles,
     pub traffic: Tally,
     pub breaches: Vec<Breach>,
-    /// Of a day with a directory: answers that rested on old knowledge, answers to a newcomer that were not "not
-    /// allowed", and what was wrong.
+    /// Of a day with a directory: answers that rested on old knowledge, answers to a newcomer that were not
+    /// "not allowed", and what was wrong.
     pub stale_answers: u64,
     pub newcomers: u64,
     pub tenant_faults: Vec<String>,
@@ -90,7 +90,8 @@
     front: Front,
     all: Vec<Process>,
     lives: Cell<u32>,
-    /// Of a day with a directory: what planners read beside the files, and where they keep what outlives them.
+    /// Of a day with a directory: what planners read beside the files, and where they keep what outlives
+    /// them.
     more: Option<(PathBuf, PathBuf)>,
 }
 
--- a/standins/src/feast.rs
+++ b/standins/src/feast.rs
@@ -1,5 +1,6 @@
-//! The directory's part of a day: stand-in servers with tenants in them, what goes wrong there, and whether answers told
-//! the truth about it: no owner who was a member all along is turned away, and what rests on old knowledge says so.
+//! The directory's part of a day: stand-in servers with tenants in them, what goes wrong there, and whether
+//! answers told the truth about it: no owner who was a member all along is turned away, and what rests on old
+//! knowledge says so.
 use crate::directory::{self, laid, Directory, Laid, Trouble};
 use crate::machine::World;
 use basaltpitch_agent::wire::Answer;
@@ -183,8 +184,8 @@
                 self.joined.set(lasts.as_micros() as i64 > self.fresh_us + self.every_us + TRAVELS);
             }
             "directory_rename" => {
-                // The first is renamed and another takes its name, without members: owners say its id from now on. The
-                // second is renamed, and owners go on with its old name.
+                // The first is renamed and another takes its name, without members: owners say its id from
+                // now on. The second is renamed, and owners go on with its old name.
                 self.change(|tenants, n| {
                     let old = tenants[0].name.clone();
                     self.called.borrow_mut().insert(old.clone(), tenants[0].id.clone());
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for what a planner meets: machines, the register, owners. They speak the agent protocol and know
-//! nothing of the planner's insides. `rough` spoils their links, `day` plays a scripted day of trouble, `drill` starts
-//! planners as processes of their own and judges the day by the traffic.
+//! nothing of the planner's insides. `rough` spoils their links, `day` plays a scripted day of trouble,
+//! `drill` starts planners as processes of their own and judges the day by the traffic.
 pub mod day;
 pub mod directory;
 pub mod drill;
--- a/standins/src/machine.rs
+++ b/standins/src/machine.rs
@@ -1,6 +1,7 @@
-//! A stand-in machine: it looks at one offer at a time, accepts within bounds or refuses with a reason, starts a few
-//! tasks at once, slowly where it has not the program, keeps programs for a while, evicts when memory runs out,
-//! pushes out for higher priority, drops repeats of a keyed task in its hall, and falls over if pushed while cold.
+//! A stand-in machine: it looks at one offer at a time, accepts within bounds or refuses with a reason,
+//! starts a few tasks at once, slowly where it has not the program, keeps programs for a while, evicts when
+//! memory runs out, pushes out for higher priority, drops repeats of a keyed task in its hall, and falls over
+//! if pushed while cold.
 use crate::feast::Feast;
 use crate::rough::{self, Knobs, Seen};
 use basaltpitch_agent::holder::{Holder, Id, Say, State};
--- a/standins/src/owner.rs
+++ b/standins/src/owner.rs
@@ -1,5 +1,6 @@
-//! Stand-in owners: they ask for tasks, wait as long as they said, ask again after a refusal or a loss, make sure
-//! before they ask again for what must not run twice, and turn to another planner when theirs does not answer.
+//! Stand-in owners: they ask for tasks, wait as long as they said, ask again after a refusal or a loss, make
+//! sure before they ask again for what must not run twice, and turn to another planner when theirs does not
+//! answer.
 use crate::machine::World;
 use crate::rough::{self, Knobs, Seen};
 use basaltpitch_agent::link::{self, News, Order};
@@ -263,8 +264,8 @@
         }
     }
 
-    /// A planner answers. What was asked of the same life of it is asked for again under the same number; what was
-    /// asked of another may run, and is asked anew once that is sure.
+    /// A planner answers. What was asked of the same life of it is asked for again under the same number;
+    /// what was asked of another may run, and is asked anew once that is sure.
     fn meet(&mut self, life: Life) {
         *self.life.borrow_mut() = Some(life.clone());
         let now = self.now();
--- a/standins/src/rough.rs
+++ b/standins/src/rough.rs
@@ -1,5 +1,6 @@
 //! A rough link: it carries bytes between a socket and a stand-in's conversation, and spoils them on command.
-//! What comes and goes on the socket is shown to the auditor frame by frame, when it is read or written there.
+//! What comes and goes on the socket is shown to the auditor frame by frame, when it is read or written
+//! there.
 use basaltpitch_agent::framing::Cutter;
 use basaltpitch_agent::link::Clock;
 use basaltpitch_agent::wire::{Body, Hello, Role};
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -1,6 +1,7 @@
-//! Snapshots that outlive a planner, in an embedded store: each is written whole or not at all, with its format's
-//! version, the time that it holds for, and a sum over its bytes. A file that cannot be read, or is none of ours, is set
-//! aside under a name that says so, and the planner starts with nothing remembered rather than with half of it.
+//! Snapshots that outlive a planner, in an embedded store: each is written whole or not at all, with its
+//! format's version, the time that it holds for, and a sum over its bytes. A file that cannot be read, or is
+//! none of ours, is set aside under a name that says so, and the planner starts with nothing remembered
+//! rather than with half of it.
 use redb::{Database, Durability, ReadableDatabase, TableDefinition};
 use std::path::{Path, PathBuf};
 use xxhash_rust::xxh3::xxh3_64;
@@ -105,8 +106,8 @@
         Fault::File { path: self.path.clone(), what: e.to_string() }
     }
 
-    /// Keeps a snapshot in place of the one before. When this returns it is on the disk; if it does not return, or
-    /// fails, the one before stands.
+    /// Keeps a snapshot in place of the one before. When this returns it is on the disk; if it does not
+    /// return, or fails, the one before stands.
     pub fn put(&self, name: &str, format: u32, at: i64, bytes: &[u8]) -> Result<(), Fault> {
         let mut value = Vec::with_capacity(HEAD + bytes.len());
         value.extend_from_slice(MARK);
@@ -123,8 +124,8 @@
         write.commit().map_err(|e| self.fault(e))
     }
 
-    /// The snapshot under a name, if one of this format was kept. One of another format, or whose bytes do not add
-    /// up, is an error that says so.
+    /// The snapshot under a name, if one of this format was kept. One of another format, or whose bytes do
+    /// not add up, is an error that says so.
     pub fn get(&self, name: &str, format: u32) -> Result<Option<Snapshot>, Fault> {
         let read = self.db.begin_read().map_err(|e| self.fault(e))?;
         let table = read.open_table(SNAPSHOTS).map_err(|e| self.fault(e))?;
--- a/tenants/benches/closure.rs
+++ b/tenants/benches/closure.rs
@@ -1,5 +1,5 @@
-//! The closure that is mended beside plain sets that are worked out anew: a full load, one change, a look-up. Members
-//! spread over groups nested five deep, ten groups a level, each in two of the level above.
+//! The closure that is mended beside plain sets that are worked out anew: a full load, one change, a look-up.
+//! Members spread over groups nested five deep, ten groups a level, each in two of the level above.
 use basaltpitch_tenants::closure::Closure;
 use roaring::RoaringBitmap;
 use std::collections::HashSet;
--- a/tenants/src/closure.rs
+++ b/tenants/src/closure.rs
@@ -1,9 +1,10 @@
 //! Who is in a group, through groups in groups: the closure is kept, and mended by the change alone.
 //!
-//! For each group three sets are kept as compressed bitmaps: the groups below it (itself included), the groups above
-//! it, and all persons in the groups below. A person who comes or goes touches the groups above his group. An edge that
-//! comes joins sets; an edge that goes makes the groups above it count anew, and no others. Cycles need no care of their
-//! own: groups of a cycle are above and below one another. A look-up is one test of a bitmap.
+//! For each group three sets are kept as compressed bitmaps: the groups below it (itself included), the
+//! groups above it, and all persons in the groups below. A person who comes or goes touches the groups above
+//! his group. An edge that comes joins sets; an edge that goes makes the groups above it count anew, and no
+//! others. Cycles need no care of their own: groups of a cycle are above and below one another. A look-up is
+//! one test of a bitmap.
 use roaring::RoaringBitmap;
 
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/tenants/src/health.rs
+++ b/tenants/src/health.rs
@@ -1,6 +1,6 @@
-//! When the directory is asked, which server of several, and how fresh what is known is. No I/O; times are whole
-//! microseconds. One sweep is under way at a time. Servers are tried in order; one that failed waits, the longer the
-//! oftener, with jitter; one that is much slower than another that works is left for it.
+//! When the directory is asked, which server of several, and how fresh what is known is. No I/O; times are
+//! whole microseconds. One sweep is under way at a time. Servers are tried in order; one that failed waits,
+//! the longer the oftener, with jitter; one that is much slower than another that works is left for it.
 use fnv::FnvHasher;
 use std::hash::Hasher;
 
@@ -174,7 +174,8 @@
     }
 }
 
-/// A number that differs from planner to planner, server to server and failure to failure, and is always the same.
+/// A number that differs from planner to planner, server to server and failure to failure, and is always the
+/// same.
 fn jitter(seed: u64, server: usize, fails: u32) -> i64 {
     let mut hasher = FnvHasher::with_key(seed);
     hasher.write_usize(server);
--- a/tenants/src/keeper.rs
+++ b/tenants/src/keeper.rs
@@ -1,5 +1,6 @@
-//! All that is known of a directory, in one place: what was learnt, what of it is believed, how fresh it is, and what is
-//! remembered over a restart. No I/O: it says which server to sweep and when, takes in what came, and answers.
+//! All that is known of a directory, in one place: what was learnt, what of it is believed, how fresh it is,
+//! and what is remembered over a restart. No I/O: it says which server to sweep and when, takes in what came,
+//! and answers.
 use crate::health::{Ended, Health, Pace, State};
 use crate::rights::{rule, Asks, Ruling, Terms};
 use crate::trust::{Caution, Held, Trust};
@@ -34,13 +35,13 @@
     under: Option<usize>,
 }
 
-/// A server is read whole again after so many sweeps that read changes only: what two changes within one tick of its
-/// stamps hid comes to light then at the latest.
+/// A server is read whole again after so many sweeps that read changes only: what two changes within one tick
+/// of its stamps hid comes to light then at the latest.
 const WHOLE_EVERY: u32 = 40;
 
 impl Keeper {
-    /// `remembered`: what `memory` gave, and when it was heard in full. An error says why it cannot be read; begin
-    /// without it then.
+    /// `remembered`: what `memory` gave, and when it was heard in full. An error says why it cannot be read;
+    /// begin without it then.
     pub fn new(
         seed: u64,
         now: i64,
@@ -114,7 +115,8 @@
         self.health.answered();
     }
 
-    /// From where on the server of the sweep that is under way can say what changed, if it is not to be read whole.
+    /// From where on the server of the sweep that is under way can say what changed, if it is not to be read
+    /// whole.
     pub fn cookie(&self) -> Option<Vec<u8>> {
         self.under.filter(|_| !self.whole()).and_then(|s| self.servers[s].1.clone())
     }
--- a/tenants/src/lib.rs
+++ b/tenants/src/lib.rs
@@ -1,7 +1,7 @@
-//! Tenants as a directory tells of them. No I/O and no clock of its own: sweeps of the directory come in, changes go
-//! out, and questions are answered with how far the answer can be relied on.
-//! `closure` keeps members of nested groups, `health` says when to ask which server and how fresh what is known is,
-//! `trust` what of a sweep is believed, `rights` who may do what. Times are whole microseconds.
+//! Tenants as a directory tells of them. No I/O and no clock of its own: sweeps of the directory come in,
+//! changes go out, and questions are answered with how far the answer can be relied on. `closure` keeps
+//! members of nested groups, `health` says when to ask which server and how fresh what is known is, `trust`
+//! what of a sweep is believed, `rights` who may do what. Times are whole microseconds.
 pub mod closure;
 pub mod health;
 pub mod keeper;
@@ -43,7 +43,8 @@
     }
 }
 
-/// When an entry last changed, as the directory says; later ones are larger. Generalized time in text sorts so.
+/// When an entry last changed, as the directory says; later ones are larger. Generalized time in text sorts
+/// so.
 pub type Stamp = String;
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -70,7 +71,8 @@
     pub stamp: Stamp,
 }
 
-/// How far a server says that it is, by the server that a change was made on (`contextCSN`); empty: it does not say.
+/// How far a server says that it is, by the server that a change was made on (`contextCSN`); empty: it does
+/// not say.
 pub type Mark = BTreeMap<String, String>;
 
 /// What came of a sweep of one server.
@@ -82,7 +84,8 @@
     /// Every page came, no limit was met and no referral: what is not in it is not in the directory.
     pub complete: bool,
     pub mark: Mark,
-    /// Entries that the server says were deleted; all others are as they were. None: what is not in it is gone.
+    /// Entries that the server says were deleted; all others are as they were. None: what is not in it is
+    /// gone.
     pub gone: Option<Vec<Id>>,
     /// From where on the server can say what changed.
     pub cookie: Option<Vec<u8>>,
@@ -133,9 +136,11 @@
 pub struct Tenants {
     known: BTreeMap<Id, Known>,
     by_dn: FnvHashMap<String, Id>,
-    /// Distinguished names of before, for members that the directory has not mended yet. Entries of now go first.
+    /// Distinguished names of before, for members that the directory has not mended yet. Entries of now go
+    /// first.
     old_dns: FnvHashMap<String, Id>,
-    /// Groups that name a distinguished name among their members, so that its change reaches them and no others.
+    /// Groups that name a distinguished name among their members, so that its change reaches them and no
+    /// others.
     mentions: FnvHashMap<String, BTreeSet<Id>>,
     by_name: FnvHashMap<String, Id>,
     by_login: FnvHashMap<String, Id>,
@@ -169,8 +174,8 @@
         self.known.iter().map(|(id, k)| (*id, &k.entry))
     }
 
-    /// Takes in what `trust` let through: entries that are there, and ids that are gone. An entry older than what is
-    /// known of it says nothing.
+    /// Takes in what `trust` let through: entries that are there, and ids that are gone. An entry older than
+    /// what is known of it says nothing.
     pub fn take(&mut self, now: i64, entries: Vec<Entry>, gone: &[Id]) -> Vec<Change> {
         self.take_in(now, entries, gone, false)
     }
@@ -326,8 +331,8 @@
         self.known.get(&id).map_or(0, |k| self.closure.count(k.number))
     }
 
-    /// A tenant by its id in hex digits or its name; by its name of before for a while, if no other has that now, so
-    /// that those who ask need not change in the moment of a renaming.
+    /// A tenant by its id in hex digits or its name; by its name of before for a while, if no other has that
+    /// now, so that those who ask need not change in the moment of a renaming.
     pub fn find(&self, name: &str, now: i64) -> Option<Id> {
         let there = |id: &Id| self.index(*id).is_some();
         let was = |id: &Id| {
@@ -355,7 +360,8 @@
         self.by_login.get(login).copied()
     }
 
-    /// The index of a tenant, whether it is there, was, or is only named by a machine that runs a task of its.
+    /// The index of a tenant, whether it is there, was, or is only named by a machine that runs a task of
+    /// its.
     pub fn place(&mut self, id: Id) -> usize {
         *self.places.entry(id).or_insert_with(|| {
             self.tenants.push(id);
--- a/tenants/src/rights.rs
+++ b/tenants/src/rights.rs
@@ -9,7 +9,8 @@
     pub operators: Vec<String>,
     /// Groups whose members may see every task.
     pub auditors: Vec<String>,
-    /// Logins that may drain machines and see every task whatever the directory says, or when it says nothing.
+    /// Logins that may drain machines and see every task whatever the directory says, or when it says
+    /// nothing.
     pub always: Vec<String>,
     /// Whether tasks are placed while nothing is known of the directory.
     pub place_blind: bool,
--- a/tenants/src/trust.rs
+++ b/tenants/src/trust.rs
@@ -1,10 +1,10 @@
-//! What of a sweep is believed. A sweep that is not complete, or from an older replica, is never read as a deletion.
-//! A sweep in which much is missing at once is held: what it adds counts, what it lacks does not, until sweeps over
-//! some time agree, or an operator says so. No I/O; times are whole microseconds.
+//! What of a sweep is believed. A sweep that is not complete, or from an older replica, is never read as a
+//! deletion. A sweep in which much is missing at once is held: what it adds counts, what it lacks does not,
+//! until sweeps over some time agree, or an operator says so. No I/O; times are whole microseconds.
 //!
-//! A server lags where it gives an entry older than it is known, or says so itself by its mark (`contextCSN`). Where it
-//! gives no mark and lacks an entry newer than all that it has, it may lag or the entry may have been deleted: that
-//! removal is held as well.
+//! A server lags where it gives an entry older than it is known, or says so itself by its mark
+//! (`contextCSN`). Where it gives no mark and lacks an entry newer than all that it has, it may lag or the
+//! entry may have been deleted: that removal is held as well.
 use crate::{Entry, Id, Mark, Sweep, Tenants, What};
 use std::collections::BTreeSet;
 
@@ -69,9 +69,9 @@
         self.mark = mark;
     }
 
-    /// An operator's word: the next complete sweep is believed as it is, with what it lacks and, where the directory
-    /// was set back to an earlier state, with entries that are older than they were known. False: nothing is held and
-    /// no server lags.
+    /// An operator's word: the next complete sweep is believed as it is, with what it lacks and, where the
+    /// directory was set back to an earlier state, with entries that are older than they were known. False:
+    /// nothing is held and no server lags.
     pub fn accept(&mut self) -> bool {
         self.accepted = self.held.is_some() || self.behind;
         self.accepted
--- a/tenants/tests/every_state.rs
+++ b/tenants/tests/every_state.rs
@@ -1,6 +1,6 @@
-//! Every state that sweeps of two servers can bring about within bounds: servers fail, hang, answer in part, lag behind,
-//! or lose much; entries come and go in the directory. In none does an entry leave for any reason but that a complete
-//! sweep of a server that is not behind lacked it.
+//! Every state that sweeps of two servers can bring about within bounds: servers fail, hang, answer in part,
+//! lag behind, or lose much; entries come and go in the directory. In none does an entry leave for any reason
+//! but that a complete sweep of a server that is not behind lacked it.
 use basaltpitch_tenants::health::{Ended, Health, Pace, State};
 use basaltpitch_tenants::trust::{Caution, Trust};
 use basaltpitch_tenants::{Entry, Id, Sweep, Tenants, What};
@@ -19,7 +19,8 @@
     health: Health,
     trust: Trust,
     ours: Tenants,
-    /// Entries of the directory, and those of the second server, which may lag: ids, and how often something changed.
+    /// Entries of the directory, and those of the second server, which may lag: ids, and how often something
+    /// changed.
     there: (BTreeSet<u128>, u32),
     replica: (BTreeSet<u128>, u32),
     under: Option<usize>,
--- a/tenants/tests/outage.rs
+++ b/tenants/tests/outage.rs
@@ -1,5 +1,5 @@
-//! The worst day: the directory is away for minutes before a feast, a planner restarts in the midst, and much changes
-//! meanwhile. A made-up clock.
+//! The worst day: the directory is away for minutes before a feast, a planner restarts in the midst, and much
+//! changes meanwhile. A made-up clock.
 use basaltpitch_tenants::health::{State, PACE};
 use basaltpitch_tenants::keeper::Keeper;
 use basaltpitch_tenants::rights::{Asks, Terms};
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -341,7 +341,8 @@
     .assert_eq(&p.host.text);
 }
 
-/// Without reports, C follows the asks that the list shows and the learnt share in use (machines looked full).
+/// Without reports, C follows the asks that the list shows and the learnt share in use (machines looked
+/// full).
 #[test]
 fn asks_in_the_list_count_at_their_share_in_use() {
     let mut p = planner(&[("familyInfo.view", "1")], &[]);
@@ -360,7 +361,8 @@
     .assert_eq(&p.host.text);
 }
 
-/// Where the fleet is pressed, one of many planners uses its turn at a cold machine (it hardly did after deploys).
+/// Where the fleet is pressed, one of many planners uses its turn at a cold machine (it hardly did after
+/// deploys).
 #[test]
 fn a_pressed_fleet_fills_cold_machines_by_turns() {
     let mut trace = String::new();
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -65,7 +65,8 @@
     pairs.chain(more.iter().copied()).map(|(name, text)| (name.to_owned(), value(text))).collect()
 }
 
-/// A planner at ten seconds with `machines` of 16 cores listed, each reporting so many in use, and as much memory.
+/// A planner at ten seconds with `machines` of 16 cores listed, each reporting so many in use, and as much
+/// memory.
 pub fn planner(more: &[(&str, &str)], machines: &[f64]) -> Planner<Trace> {
     let host = Trace { now: 10_000_000, ..Trace::default() };
     let mut p = Planner::new(host, 7, 10_000_000, given(more));
--- a/timers/benches/wheel.rs
+++ b/timers/benches/wheel.rs
@@ -1,5 +1,5 @@
-//! The wheel beside a plain heap under the load of a planner: one timer a launch (3 s), one a waiting task (6 s),
-//! a tick of 100 ms, with so many timers waiting.
+//! The wheel beside a plain heap under the load of a planner: one timer a launch (3 s), one a waiting task (6
+//! s), a tick of 100 ms, with so many timers waiting.
 use basaltpitch_timers::Wheel;
 use rand::{rngs::StdRng, Rng, SeedableRng};
 use std::cmp::Reverse;
--- a/timers/src/lib.rs
+++ b/timers/src/lib.rs
@@ -1,7 +1,7 @@
 //! The timers of a planner: many, short, never withdrawn, and due in an order that does not depend on chance.
-//! A wheel of wheels: six levels of 64 slots, the finest 1.024 ms wide. Setting a timer costs the same whatever
-//! waits; a timer moves down a level at most five times. Those of one slot are handed out by the time they are due,
-//! then in the order in which they were set, so that a recording replays to the last byte.
+//! A wheel of wheels: six levels of 64 slots, the finest 1.024 ms wide. Setting a timer costs the same
+//! whatever waits; a timer moves down a level at most five times. Those of one slot are handed out by the
+//! time they are due, then in the order in which they were set, so that a recording replays to the last byte.
 //! Times are whole microseconds.
 use std::collections::BTreeMap;
 
@@ -102,7 +102,8 @@
         }
     }
 
-    /// The earliest time at which `next_due` may have something: exact for what is near, early for what is far.
+    /// The earliest time at which `next_due` may have something: exact for what is near, early for what is
+    /// far.
     pub fn next_at(&self) -> Option<i64> {
         match self.due.last() {
             Some(first) => Some(first.at),
