One reader of lists of texts, one word for what stands, one ruling on seeing

Cause: read again, the change had three copies of a reader of text lists, three of joining faults, two of a standing launch, two of a task's facts, three types for one record of answers; files were read a second time for their places, and a new group of tasks copied all clauses.

--- a/audit/src/lib.rs
+++ b/audit/src/lib.rs
@@ -101,6 +101,13 @@
     number: u64,
 }
 
+impl Sent {
+    /// It has no outcome yet; one that said yes stands until it is over.
+    fn stands(&self, at: i64) -> bool {
+        !self.over && (self.said_yes || (self.end.is_none() && at < self.at + self.time_out))
+    }
+}
+
 type AskId = (Life, String, u64);
 
 /// One that must be with others counts those that stood so long ago.
@@ -113,7 +120,6 @@
     asks: BTreeMap<AskId, Ask>,
     launches: BTreeMap<AskId, Vec<Sent>>,
     by_id: HashMap<(Life, u64), AskId>,
-    service: HashMap<(Life, u64), (u64, String)>,
     spots: HashMap<String, Spot>,
     /// When a planner was told that a machine drains or is gone, by the register and by the machine itself:
     /// each takes back its own word only.
@@ -138,7 +144,6 @@
             asks: BTreeMap::new(),
             launches: BTreeMap::new(),
             by_id: HashMap::new(),
-            service: HashMap::new(),
             spots: HashMap::new(),
             told: HashMap::new(),
             listed: HashMap::new(),
@@ -376,7 +381,7 @@
         self.tally.launches += 1;
         let ask = (life.clone(), l.key.clone(), l.ask);
         self.by_id.insert((life.clone(), id.number), ask.clone());
-        self.service.insert((life.clone(), id.number), (l.service, l.framework.clone()));
+        self.tasks.insert((life.clone(), id.number), l.clone());
         self.judge_drain(at, machine, life, l, late);
         self.judge_cold(at, machine, life);
         self.judge_spread(at, machine, life, l);
@@ -446,13 +451,10 @@
                 _ => there.zone == spot.zone,
             }
         };
-        // Those with no outcome yet; a copy that said yes counts until it is over.
-        let counts = |s: &Sent| {
-            !s.over && (s.said_yes || (s.end.is_none() && at < s.at + s.time_out)) && near(&s.machine)
-        };
+        let counts = |s: &Sent| s.stands(at) && near(&s.machine);
         let mine = self.launches.iter().filter(|(id, _)| id.0 == *life);
         let of_service =
-            |s: &&Sent| self.service.get(&(life.clone(), s.number)).is_some_and(|x| x.0 == l.service);
+            |s: &&Sent| self.tasks.get(&(life.clone(), s.number)).is_some_and(|x| x.service == l.service);
         let together = 1 + mine.flat_map(|(_, all)| all).filter(|s| counts(s)).filter(of_service).count();
         let most = f.most;
         if together > most {
@@ -473,10 +475,7 @@
         let nowhere = Spot::default();
         let spot = self.spots.get(machine).unwrap_or(&nowhere);
         let mine = self.launches.iter().filter(|(id, _)| id.0 == *life).flat_map(|(_, all)| all);
-        let standing = |s: &'_ Sent| {
-            let stands = !s.over && (s.said_yes || (s.end.is_none() && at < s.at + s.time_out));
-            stands || (s.over && at < s.over_at + STOOD_JUST_NOW)
-        };
+        let standing = |s: &Sent| s.stands(at) || (s.over && at < s.over_at + STOOD_JUST_NOW);
         let all: Vec<Standing> = mine
             .filter(|s| standing(s))
             .filter_map(|s| {
@@ -493,9 +492,6 @@
         for what in broken {
             self.breach(6, at, life, &l.key, format!("launched on {machine}: {what}"));
         }
-        if let Some(id) = l.id {
-            self.tasks.insert((life.clone(), id.number), l.clone());
-        }
     }
 
     /// The day is over: what can only be judged from the whole is judged now.
--- a/clauses/src/deciding.rs
+++ b/clauses/src/deciding.rs
@@ -5,6 +5,7 @@
 use crate::{By, Clause, Gone, Level, Machine, Rule, Scope, Task, Which};
 use fnv::FnvHashMap;
 use std::collections::VecDeque;
+use std::rc::Rc;
 
 /// Groups that no task uses are kept up to so many: services come back.
 const MOST_IDLE: usize = 256;
@@ -107,7 +108,7 @@
 pub type Copy = (u64, u64);
 
 pub struct Deciding {
-    clauses: Vec<Clause>,
+    clauses: Rc<[Clause]>,
     machines: Vec<Option<Known>>,
     places: [Places; 3],
     tallies: Vec<Tally>,
@@ -130,6 +131,20 @@
     level as usize
 }
 
+/// Puts something into a slot that is free, or a new one.
+fn put<T>(all: &mut Vec<T>, free: &mut Vec<usize>, one: T) -> usize {
+    match free.pop() {
+        Some(slot) => {
+            all[slot] = one;
+            slot
+        }
+        None => {
+            all.push(one);
+            all.len() - 1
+        }
+    }
+}
+
 impl Deciding {
     pub fn new(clauses: Vec<Clause>) -> Self {
         let looks = |s: &Scope| s.task.is_some();
@@ -137,7 +152,7 @@
             .iter()
             .any(|c| looks(&c.of) || matches!(&c.rule, Rule::With(s, _) | Rule::Apart(s, _) if looks(s)));
         let mut d = Deciding {
-            clauses,
+            clauses: clauses.into(),
             machines: Vec::new(),
             places: Default::default(),
             tallies: Vec::new(),
@@ -156,7 +171,7 @@
         };
         // Tallies that are not of one service stand from the start: tasks count before anybody asks about
         // them.
-        for clause in d.clauses.clone() {
+        for clause in d.clauses.clone().iter() {
             match &clause.rule {
                 Rule::With(s, level) => {
                     d.tally(s, None, *level);
@@ -187,12 +202,7 @@
         let sure = counts.clone();
         let tally =
             Tally { scope: scope.clone(), service, level, counts, sure, total: 0, watchers: Vec::new() };
-        let t = self.free_tallies.pop().unwrap_or(self.tallies.len());
-        if t == self.tallies.len() {
-            self.tallies.push(tally);
-        } else {
-            self.tallies[t] = tally;
-        }
+        let t = put(&mut self.tallies, &mut self.free_tallies, tally);
         self.tally_of.insert(key, t);
         t
     }
@@ -493,8 +503,9 @@
         }
         soft.sort_by_key(|&b| std::cmp::Reverse(clauses[self.bounds[b].clause].wish));
         let counts = |t: &Tally| t.scope.matches(task) && t.service.is_none_or(|s| s == task.service);
-        let live = |t: &usize| self.tally_of.values().any(|x| x == t);
-        let feeds = (0..self.tallies.len()).filter(|t| counts(&self.tallies[*t]) && live(t)).collect();
+        let mut feeds: Vec<usize> =
+            self.tally_of.values().copied().filter(|&t| counts(&self.tallies[t])).collect();
+        feeds.sort_unstable();
         let key = (hard, soft, feeds);
         if let Some(&g) = self.group_of.get(&key) {
             return g;
@@ -502,16 +513,11 @@
         let blocked = |m: usize| key.0.iter().filter(|&&b| self.bounds[b].forbids[m]).count() as u16;
         let blocks = (0..self.machines.len()).map(blocked).collect();
         let (hard, soft, feeds) = key.clone();
-        let g = self.free_groups.pop().unwrap_or(self.groups.len());
-        for &b in hard.iter().chain(&soft) {
+        let group = Group { hard: hard.clone(), soft: soft.clone(), feeds, blocks, uses: 0 };
+        let g = put(&mut self.groups, &mut self.free_groups, group);
+        for b in hard.into_iter().chain(soft) {
             self.bounds[b].groups.push(g);
         }
-        let group = Group { hard, soft, feeds, blocks, uses: 0 };
-        if g == self.groups.len() {
-            self.groups.push(group);
-        } else {
-            self.groups[g] = group;
-        }
         self.group_of.insert(key, g);
         g
     }
@@ -534,12 +540,7 @@
             counted: vec![None; size],
             fewest: 0,
         };
-        let b = self.free_bounds.pop().unwrap_or(self.bounds.len());
-        if b == self.bounds.len() {
-            self.bounds.push(bound);
-        } else {
-            self.bounds[b] = bound;
-        }
+        let b = put(&mut self.bounds, &mut self.free_bounds, bound);
         if let Some(t) = watched {
             self.tallies[t].watchers.push(b);
         }
--- a/clauses/src/read.rs
+++ b/clauses/src/read.rs
@@ -2,15 +2,7 @@
 //! places: names that stand for nothing, a rack of no hall, a spread of nothing, clauses that can never hold
 //! together, and one that another swallows.
 use crate::{By, Clause, Gone, Level, Rule, Scope, Which};
-use basaltpitch_records::{Fault, Plain, Settled};
-
-fn texts(of: &Settled, list: &str) -> Vec<(String, basaltpitch_records::Span)> {
-    let text = |x: &Settled| match &x.value {
-        Plain::Text(t) => Some((t.clone(), x.at)),
-        _ => None,
-    };
-    of.list(list).iter().filter_map(text).collect()
-}
+use basaltpitch_records::{Fault, Settled};
 
 /// Names that clauses may use.
 struct Known<'a> {
@@ -21,7 +13,7 @@
 impl Known<'_> {
     fn named(&mut self, list: &str, name: &str, at: basaltpitch_records::Span) {
         let names: Vec<String> = match list {
-            "zones" => texts(self.all, list).into_iter().map(|x| x.0).collect(),
+            "zones" => self.all.texts(list).into_iter().map(|x| x.0).collect(),
             _ => self.all.list(list).iter().filter_map(|x| x.text("name").map(str::to_owned)).collect(),
         };
         if !names.iter().any(|n| n == name) {
@@ -51,11 +43,11 @@
 
     fn which(&mut self, w: &Settled) -> Which {
         for (list, names) in [("kinds", "kinds"), ("halls", "zones"), ("racks", "racks")] {
-            for (name, at) in texts(w, list) {
+            for (name, at) in w.texts(list) {
                 self.named(names, &name, at);
             }
         }
-        let plain = |list: &str| texts(w, list).into_iter().map(|x| x.0).collect::<Vec<_>>();
+        let plain = |list: &str| w.texts(list).into_iter().map(|x| x.0).collect::<Vec<_>>();
         let racks = self.all.list("racks").iter().filter(|r| {
             let wanted = plain("racks");
             r.text("name").is_some_and(|n| wanted.iter().any(|w| w == n))
@@ -67,7 +59,7 @@
             racks: racks.collect(),
             labels: plain("labels"),
         };
-        if texts(w, "racks").is_empty() && which == Which::default() {
+        if w.texts("racks").is_empty() && which == Which::default() {
             let what = "found no kinds, halls, racks or labels; expected at least one";
             self.faults.push(Fault::new(w.at, what));
         }
@@ -123,8 +115,8 @@
     let mut known = Known { all, faults: Vec::new() };
     for rack in all.list("racks") {
         let (name, hall) = (rack.text("name").unwrap_or(""), rack.text("hall").unwrap_or(""));
-        if !texts(all, "zones").iter().any(|z| z.0 == hall) {
-            let halls: Vec<String> = texts(all, "zones").into_iter().map(|x| x.0).collect();
+        if !all.texts("zones").iter().any(|z| z.0 == hall) {
+            let halls: Vec<String> = all.texts("zones").into_iter().map(|x| x.0).collect();
             let at = rack.get("hall").map_or(rack.at, |h| h.at);
             let what = format!("rack {name}: found hall {hall:?}; expected one of {}", halls.join(", "));
             known.faults.push(Fault::new(at, what));
--- a/clauses/tests/reading.rs
+++ b/clauses/tests/reading.rs
@@ -21,13 +21,7 @@
     match load_texts(&[("site.rec", SITE), ("clauses.rec", clauses)]) {
         Ok(site) => match read(&site.all) {
             Ok(clauses) => clauses.iter().map(|c| format!("{}: {:?} {:?}\n", c.name, c.of, c.rule)).collect(),
-            Err(faults) => {
-                let mut sources = basaltpitch_records::Sources::default();
-                sources.add("built-in types", "");
-                sources.add("site.rec", SITE);
-                sources.add("clauses.rec", clauses);
-                faults.iter().map(|f| format!("{}\n", f.line(&sources))).collect()
-            }
+            Err(faults) => faults.iter().map(|f| format!("{}\n", f.line(&site.sources))).collect(),
         },
         Err((sources, faults)) => faults.iter().map(|f| format!("{}\n", f.line(&sources))).collect(),
     }
--- a/cli/src/constraints.rs
+++ b/cli/src/constraints.rs
@@ -30,7 +30,7 @@
 
 impl Changed {
     fn run(self, take: bool, json: bool) -> Result<(), Failure> {
-        let clauses = clauses_of(&load(&self.files)?, &self.files)?;
+        let clauses = clauses_of(&load(&self.files)?)?;
         let text = serde_json::to_string(&clauses).map_err(|e| Failure::Failed(e.to_string()))?;
         let told = question(&self.at, Body::Clauses(wire::Clauses { json: text, take }))?;
         let broken = told["broken"].as_array().map_or(0, Vec::len);
@@ -51,7 +51,7 @@
     pub fn run(self, json: bool) -> Result<(), Failure> {
         match self {
             Constraints::Check { files } => {
-                let clauses = clauses_of(&load(&files)?, &files)?;
+                let clauses = clauses_of(&load(&files)?)?;
                 let rows = clauses.iter().map(|(c, place)| {
                     let how = c.wish.map_or("must".to_owned(), |rank| format!("prefer {rank}"));
                     let rule = serde_json::to_value(&c.rule).unwrap_or_default();
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -7,6 +7,8 @@
 mod serve;
 mod tenants;
 
+use basaltpitch_records::installation::{self, Installation};
+use basaltpitch_records::{Fault, Sources};
 use clap::{Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -125,37 +127,27 @@
 }
 
 /// Reads an installation, or says all that is wrong with it.
-fn load(files: &[PathBuf]) -> Result<basaltpitch_records::installation::Installation, Failure> {
-    basaltpitch_records::installation::load(files).map_err(|(sources, faults)| {
-        let text = faults.iter().map(|f| format!("{}\n{:?}", f.line(&sources), f.report(&sources)));
-        Failure::Wrong(text.collect::<Vec<_>>().join("\n"))
-    })
+fn load(files: &[PathBuf]) -> Result<Installation, Failure> {
+    installation::load(files).map_err(|(sources, faults)| wrong(&sources, &faults))
+}
+
+/// All that is wrong with files, each with its lines.
+fn wrong(sources: &Sources, faults: &[Fault]) -> Failure {
+    let text = faults.iter().map(|f| format!("{}\n{:?}", f.line(sources), f.report(sources)));
+    Failure::Wrong(text.collect::<Vec<_>>().join("\n"))
 }
 
 /// The directory that an installation's files name, or all that is wrong with it.
-fn directory_of(
-    installation: &basaltpitch_records::installation::Installation,
-    files: &[PathBuf],
-) -> Result<Option<basaltpitch_directory::Directory>, Failure> {
-    basaltpitch_directory::read_settings(&installation.all).map_err(|faults| {
-        let sources = basaltpitch_records::installation::sources(files);
-        let text = faults.iter().map(|f| format!("{}\n{:?}", f.line(&sources), f.report(&sources)));
-        Failure::Wrong(text.collect::<Vec<_>>().join("\n"))
-    })
+fn directory_of(found: &Installation) -> Result<Option<basaltpitch_directory::Directory>, Failure> {
+    basaltpitch_directory::read_settings(&found.all).map_err(|faults| wrong(&found.sources, &faults))
 }
 
 /// The clauses of an installation's files with a name and place of each, or all that is wrong with them.
-fn clauses_of(
-    installation: &basaltpitch_records::installation::Installation,
-    files: &[PathBuf],
-) -> Result<Vec<(basaltpitch_clauses::Clause, String)>, Failure> {
-    let sources = basaltpitch_records::installation::sources(files);
-    let read = basaltpitch_clauses::read::read(&installation.all).map_err(|faults| {
-        let text = faults.iter().map(|f| format!("{}\n{:?}", f.line(&sources), f.report(&sources)));
-        Failure::Wrong(text.collect::<Vec<_>>().join("\n"))
-    })?;
+fn clauses_of(found: &Installation) -> Result<Vec<(basaltpitch_clauses::Clause, String)>, Failure> {
+    let read =
+        basaltpitch_clauses::read::read(&found.all).map_err(|faults| wrong(&found.sources, &faults))?;
     let placed = |c: basaltpitch_clauses::Clause| {
-        let (file, line, _) = sources.place(c.at);
+        let (file, line, _) = found.sources.place(c.at);
         let words = format!("{} ({file}:{line})", c.name);
         (c, words)
     };
@@ -164,8 +156,8 @@
 
 fn check(files: &[PathBuf], ask: bool, json: bool) -> Result<(), Failure> {
     let found = load(files)?;
-    clauses_of(&found, files)?;
-    let directory = directory_of(&found, files)?;
+    clauses_of(&found)?;
+    let directory = directory_of(&found)?;
     if ask {
         let none = || Failure::Wrong("--directory: found no directory in these files; expected one".into());
         return tenants::try_directory(&directory.ok_or_else(none)?, json);
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -82,8 +82,8 @@
         let given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let epoch = self.epoch.unwrap_or(since.map_or(1, |d| d.as_micros() as u64));
-        let clauses = crate::clauses_of(&installation, &self.files)?;
-        let directory = crate::directory_of(&installation, &self.files)?;
+        let clauses = crate::clauses_of(&installation)?;
+        let directory = crate::directory_of(&installation)?;
         let store = self.state.as_ref().map(|folder| self.open(folder)).transpose()?;
         let record = self.record.as_ref().map(|path| {
             let file = std::fs::File::create(path);
--- a/directory/src/settings.rs
+++ b/directory/src/settings.rs
@@ -18,14 +18,6 @@
     pub caution: Caution,
 }
 
-fn texts(of: &Settled, list: &str) -> Vec<(String, basaltpitch_records::Span)> {
-    let text = |x: &Settled| match &x.value {
-        basaltpitch_records::Plain::Text(t) => Some((t.clone(), x.at)),
-        _ => None,
-    };
-    of.list(list).iter().filter_map(text).collect()
-}
-
 /// A description of an attribute or class, or its number (RFC 4512).
 fn is_name(name: &str) -> bool {
     let word = name.starts_with(|c: char| c.is_ascii_alphabetic())
@@ -54,7 +46,7 @@
     let time = |field: &str| d.time(field).unwrap_or(0);
     let mark = |field: &str| d.mark(field).unwrap_or(false);
     let count = |field: &str| d.number(field).unwrap_or(0.0) as usize;
-    let urls: Vec<String> = texts(d, "servers").into_iter().map(|x| x.0).collect();
+    let urls: Vec<String> = d.texts("servers").into_iter().map(|x| x.0).collect();
     if urls.is_empty() {
         wrong("servers", "none".into(), "at least one address");
     }
@@ -85,7 +77,7 @@
         }
     }
     for list in ["operators", "auditors"] {
-        for (dn, _) in texts(d, list).into_iter().filter(|x| !is_dn(&x.0)) {
+        for (dn, _) in d.texts(list).into_iter().filter(|x| !is_dn(&x.0)) {
             wrong(list, format!("{dn:?}"), "distinguished names of groups");
         }
     }
@@ -135,7 +127,7 @@
         group_class: text("classes.group"),
         person_class: text("classes.person"),
     };
-    let plain = |list: &str| texts(d, list).into_iter().map(|x| crate::plain_dn(&x.0)).collect();
+    let plain = |list: &str| d.texts(list).into_iter().map(|x| crate::plain_dn(&x.0)).collect();
     Ok(Some(Directory {
         source: Source {
             urls,
@@ -153,7 +145,7 @@
         terms: Terms {
             operators: plain("operators"),
             auditors: plain("auditors"),
-            always: texts(d, "always").into_iter().map(|x| x.0).collect(),
+            always: d.texts("always").into_iter().map(|x| x.0).collect(),
             place_blind: mark("place_blind"),
             place_stale: mark("place_stale"),
         },
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -269,12 +269,16 @@
         }
     }
 
-    /// What clauses see of a task.
+    /// What clauses see of a task, where there are clauses.
     fn facts(&self, framework: usize, tenant: Option<usize>, service: u64, key: &str) -> Option<Rc<Facts>> {
-        self.placing.host.bounds.as_ref()?;
+        let bound = self.placing.host.bounds.is_some();
+        bound.then(|| self.facts_anyway(framework, tenant, service, key))
+    }
+
+    fn facts_anyway(&self, framework: usize, tenant: Option<usize>, service: u64, key: &str) -> Rc<Facts> {
         let tenant = tenant.map(|t| self.tenancy.called(t).0).unwrap_or_default();
         let framework = self.names.frameworks[framework].0.clone();
-        Some(Rc::new(Facts { framework, tenant, service, key: key.to_owned() }))
+        Rc::new(Facts { framework, tenant, service, key: key.to_owned() })
     }
 
     fn clause_names(&self, clauses: &[usize]) -> String {
@@ -307,14 +311,9 @@
         let Some(mut bounds) = std::mem::replace(&mut self.placing.host.bounds, before) else {
             return Value::Null;
         };
-        let facts_of = |core: &Core, key: &Key, job: &Job| {
-            let tenant = job.tenant.map(|t| core.tenancy.called(t).0).unwrap_or_default();
-            let framework = core.names.frameworks[job.framework].0.clone();
-            Rc::new(Facts { framework, tenant, service: job.service, key: key.to_string() })
-        };
         let mut all = Vec::new();
         for (key, r) in self.ledger().records() {
-            let facts = facts_of(self, key, &r.job);
+            let facts = self.facts_anyway(r.job.framework, r.job.tenant, r.job.service, key);
             let copies: Vec<(Launch, usize)> = r.copies.iter().map(|c| (c.launch, c.machine)).collect();
             all.push((key.clone(), facts, copies, r.task));
         }
@@ -654,16 +653,16 @@
 
     /// Something of a machine's standing changed: the module hears it if that makes a difference to it.
     fn stands_anew(&mut self, m: usize) {
-        if let Some(ready) =
-            self.known[m].as_ref().and_then(|x| x.standing.told.map(|_| x.standing.readiness()))
-        {
-            self.bound_machine(m, ready);
-        }
-        let changed = self.known[m].as_ref().is_some_and(|x| x.standing.told != Some(x.standing.readiness()));
-        if changed {
-            self.tell(Told::ListBegins { whole: false, fresh: false });
-            self.tell_machine(m);
-            self.tell(Told::ListEnds);
+        let standing = self.known[m].as_ref().map(|x| (x.standing.told, x.standing.readiness()));
+        match standing {
+            Some((told, ready)) if told != Some(ready) => {
+                self.tell(Told::ListBegins { whole: false, fresh: false });
+                self.tell_machine(m);
+                self.tell(Told::ListEnds);
+            }
+            // Clauses ask how the link stands, too.
+            Some((_, ready)) => self.bound_machine(m, ready),
+            None => {}
         }
         self.settle();
     }
--- a/planner/src/hands.rs
+++ b/planner/src/hands.rs
@@ -64,9 +64,9 @@
 /// Answers to the module's questions about clauses, in their order.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Answers {
-    pub allows: Vec<bool>,
-    pub wishes: Vec<u64>,
-    pub alike: Vec<usize>,
+    pub allows: VecDeque<bool>,
+    pub wishes: VecDeque<u64>,
+    pub alike: VecDeque<usize>,
 }
 
 impl Answers {
@@ -114,9 +114,9 @@
         self.answers.take()
     }
 
-    fn noted<T: Copy>(&self, answer: T, to: impl FnOnce(&mut Answers) -> &mut Vec<T>) -> T {
+    fn noted<T: Copy>(&self, answer: T, to: impl FnOnce(&mut Answers) -> &mut VecDeque<T>) -> T {
         if self.calls.is_some() && self.bounds.is_some() {
-            to(&mut self.answers.borrow_mut()).push(answer);
+            to(&mut self.answers.borrow_mut()).push_back(answer);
         }
         answer
     }
@@ -133,22 +133,7 @@
 pub struct Words {
     pub text: String,
     /// What was answered when this was recorded, for a replay.
-    pub answers: RefCell<Replay>,
-}
-
-/// Recorded answers that a replay gives again.
-#[derive(Default)]
-pub struct Replay {
-    allows: VecDeque<bool>,
-    wishes: VecDeque<u64>,
-    alike: VecDeque<usize>,
-}
-
-impl Replay {
-    pub fn of(answers: Answers) -> Self {
-        let Answers { allows, wishes, alike } = answers;
-        Replay { allows: allows.into(), wishes: wishes.into(), alike: alike.into() }
-    }
+    pub answers: RefCell<Answers>,
 }
 
 impl Host for Words {
--- a/planner/src/recording.rs
+++ b/planner/src/recording.rs
@@ -9,12 +9,12 @@
 //! ```
 //!
 //! `replay` tells a new module the same and compares its calls, line by line.
-use crate::hands::{Answers, Replay, Words};
+use crate::hands::{Answers, Words};
 use crate::told::Told;
 use basaltpitch::host::{Given, Value};
 use basaltpitch::logic::Planner;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, Write};
 use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
 
@@ -44,12 +44,21 @@
     answers: Option<Said>,
 }
 
+impl Line {
+    /// Tells a module again, with the answers of clauses that it got then.
+    fn tell(self, planner: &mut Planner<Words>) -> Result<(), String> {
+        planner.clock(self.at);
+        planner.host.answers.replace(self.answers.map_or_else(Answers::default, Answers::from));
+        self.told.tell(planner)
+    }
+}
+
 /// What clauses answered to the module, in the order of its questions.
 #[derive(Serialize, Deserialize)]
 struct Said {
     allows: String,
-    wishes: Vec<u64>,
-    alike: Vec<usize>,
+    wishes: VecDeque<u64>,
+    alike: VecDeque<usize>,
 }
 
 impl From<Answers> for Said {
@@ -157,9 +166,7 @@
     let told: Vec<Line> = lines.filter_map(|l| serde_json::from_str(&l).ok()).collect();
     let began = std::time::Instant::now();
     for line in told {
-        planner.clock(line.at);
-        planner.host.answers.replace(Replay::of(line.answers.map_or_else(Answers::default, Answers::from)));
-        line.told.tell(&mut planner)?;
+        line.tell(&mut planner)?;
         planner.host.text.clear();
     }
     Ok(began.elapsed())
@@ -195,7 +202,7 @@
     let (_, start) = next("how the module was started")?;
     let mut planner = begin(&start)?;
     let (mut told, mut calls) = (0, 0);
-    let mut due: std::collections::VecDeque<String> =
+    let mut due: VecDeque<String> =
         std::mem::take(&mut planner.host.text).lines().map(str::to_owned).collect();
     while let Some((n, line)) = lines.next() {
         let line = line.map_err(|e| format!("line {n}: {e}"))?;
@@ -221,9 +228,7 @@
                 return Err(format!("line {n}: found {e}; expected what the module was told, or a call"))
             }
         };
-        planner.clock(parsed.at);
-        planner.host.answers.replace(Replay::of(parsed.answers.map_or_else(Answers::default, Answers::from)));
-        parsed.told.tell(&mut planner).map_err(|e| format!("line {n}: found {e}"))?;
+        parsed.tell(&mut planner).map_err(|e| format!("line {n}: found {e}"))?;
         told += 1;
         due.extend(std::mem::take(&mut planner.host.text).lines().map(str::to_owned));
     }
--- a/planner/src/tenancy.rs
+++ b/planner/src/tenancy.rs
@@ -181,6 +181,14 @@
         self.keeper.rule(now, &self.ways.terms, login, asks)
     }
 
+    /// Whether someone may see a tenant's tasks and people; an error says why not.
+    fn may_see(&self, now: i64, login: &str, tenant: Option<Id>) -> Result<(), String> {
+        let ruling = self.rule(now, login, Asks::See { tenant });
+        let words = ruling.why.words();
+        let no = || format!("found login {login:?}: {words}; expected a member, an auditor or an operator");
+        ruling.may.then_some(()).ok_or_else(no)
+    }
+
     fn refusal(&self, now: i64, ruling: Ruling) -> Option<(Reason, i64)> {
         (!ruling.may).then(|| (Reason::NotAllowed(ruling.why.words()), self.keeper.retry_after_us(now)))
     }
@@ -197,22 +205,12 @@
             json!({"tenant": t.name, "was": t.was, "id": t.id.to_string(), "share": t.share,
                    "members": t.members, "index": t.index, "stale_ms": self.stale_ms(now)})
         };
-        let sees = |tenant: Option<Id>| {
-            let ruling = self.rule(now, login, Asks::See { tenant });
-            if ruling.may {
-                return Ok(());
-            }
-            let words = ruling.why.words();
-            Err(format!(
-                "{what}: found login {login:?}: {words}; expected a member, an auditor or an operator"
-            ))
-        };
         Ok(match what {
             "tenants" => known.tenants(now).map(row).collect(),
             "tenant" => row(known.tenant(find()?, now).ok_or("gone")?),
             "members" => {
                 let id = find()?;
-                sees(Some(id))?;
+                self.may_see(now, login, Some(id)).map_err(|e| format!("{what}: {e}"))?;
                 let way = |login: &str| known.login(login).map(|p| known.why(p, id)).unwrap_or_default();
                 let people = known.people(id);
                 people.iter().map(|login| json!({"login": login, "by": way(login)})).collect()
@@ -349,7 +347,7 @@
             Tenancy::Listed(_) => true,
             Tenancy::Learnt(l) => {
                 let tenant = tenant.and_then(|t| l.keeper.tenants().at(t));
-                l.rule(now, login, Asks::See { tenant }).may
+                l.may_see(now, login, tenant).is_ok()
             }
         }
     }
@@ -357,14 +355,7 @@
     /// The same by a tenant's name; an error says why not.
     pub fn may_see(&self, now: i64, login: &str, tenant: &str) -> Result<(), String> {
         let Tenancy::Learnt(l) = self else { return Ok(()) };
-        let tenant = l.keeper.tenants().find(tenant, now);
-        let ruling = l.rule(now, login, Asks::See { tenant });
-        let words = ruling.why.words();
-        if ruling.may {
-            Ok(())
-        } else {
-            Err(format!("found login {login:?}: {words}; expected a member, an auditor or an operator"))
-        }
+        l.may_see(now, login, l.keeper.tenants().find(tenant, now))
     }
 
     /// An operator's act: an error says why someone may not.
--- a/records/src/installation.rs
+++ b/records/src/installation.rs
@@ -12,6 +12,8 @@
 #[derive(Clone, Debug)]
 pub struct Installation {
     pub all: Settled,
+    /// The texts that it was read from, to show places in.
+    pub sources: Sources,
 }
 
 /// Reads and checks files; all faults that were found, with the sources to show them in.
@@ -34,17 +36,6 @@
     read_all(sources)
 }
 
-/// The sources of files that were read before, to show faults in.
-pub fn sources(files: &[impl AsRef<Path>]) -> Sources {
-    let mut sources = Sources::default();
-    sources.add("built-in types", SCHEMA);
-    for file in files {
-        let text = std::fs::read_to_string(file).unwrap_or_default();
-        sources.add(&file.as_ref().display().to_string(), &text);
-    }
-    sources
-}
-
 /// The same for texts with names.
 pub fn load_texts(texts: &[(&str, &str)]) -> Result<Installation, (Sources, Vec<Fault>)> {
     let mut sources = Sources::default();
@@ -62,7 +53,7 @@
     };
     let faults = check(&all);
     if faults.is_empty() {
-        Ok(Installation { all })
+        Ok(Installation { all, sources })
     } else {
         Err((sources, faults))
     }
--- a/records/src/lib.rs
+++ b/records/src/lib.rs
@@ -182,6 +182,15 @@
         }
     }
 
+    /// The texts of a list, with their places.
+    pub fn texts(&self, path: &str) -> Vec<(String, Span)> {
+        let text = |x: &Settled| match &x.value {
+            Plain::Text(t) => Some((t.clone(), x.at)),
+            _ => None,
+        };
+        self.list(path).iter().filter_map(text).collect()
+    }
+
     pub fn fields(&self) -> impl Iterator<Item = (&String, &Settled)> {
         let fields = match &self.value {
             Plain::Record(fields) => Some(fields),
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -205,11 +205,7 @@
 }
 
 fn texts(of: &Settled, list: &str) -> Vec<String> {
-    let text = |x: &Settled| match &x.value {
-        Plain::Text(t) => Some(t.clone()),
-        _ => None,
-    };
-    of.list(list).iter().filter_map(text).collect()
+    of.texts(list).into_iter().map(|x| x.0).collect()
 }
 
 /// The clauses that a drill judges, read anew from the records: hard ones, skews aside.
