Clauses of a known task are explained to those who may see that very tenant

Cause: the right was looked up by the tenant's name at the asking; after a renaming another tenant may have that name.

Change: the right is asked of the tenant's index, as the view of tasks does.

Measured: the planner's tests of clauses and tenants pass.

--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -386,9 +386,10 @@
             "key": facts.key}, "verdict": verdict, "clauses": rows, "machines": by_machine})
     }
 
-    /// What clauses see of a task that is known by its key.
-    pub(crate) fn facts_of(&self, key: &str) -> Option<Rc<Facts>> {
-        self.ledger().record(&key.into()).and_then(|r| r.job.facts.clone())
+    /// What clauses see of a task that is known by its key, and its tenant.
+    pub(crate) fn facts_of(&self, key: &str) -> Option<(Rc<Facts>, Option<usize>)> {
+        let job = &self.ledger().record(&key.into())?.job;
+        Some((job.facts.clone()?, job.tenant))
     }
 
     /// The clauses that keep a task out everywhere now, if clauses do.
--- a/planner/src/view.rs
+++ b/planner/src/view.rs
@@ -49,18 +49,23 @@
                     "explain: found {key:?}; expected the key of a known task, and clauses in the settings"
                 )
             };
-            (*core.facts_of(key).ok_or_else(none)?).clone()
+            // By the tenant itself: its name of then may be another's by now.
+            let sees = |t: Option<usize>| core.tenancy().sees(core.clock_now(), login, t);
+            let (facts, _) = core.facts_of(key).filter(|x| sees(x.1)).ok_or_else(none)?;
+            (*facts).clone()
+        }
+        None => {
+            if !text("tenant").is_empty() {
+                core.tenancy().may_see(core.clock_now(), login, &text("tenant"))?;
+            }
+            basaltpitch_clauses::Task {
+                framework: text("framework"),
+                tenant: text("tenant"),
+                service: asked["service"].as_u64().unwrap_or(0),
+                key: String::new(),
+            }
         }
-        None => basaltpitch_clauses::Task {
-            framework: text("framework"),
-            tenant: text("tenant"),
-            service: asked["service"].as_u64().unwrap_or(0),
-            key: String::new(),
-        },
     };
-    if let Some(tenant) = Some(&facts.tenant).filter(|t| !t.is_empty()) {
-        core.tenancy().may_see(core.clock_now(), login, tenant)?;
-    }
     Ok(core.explain(&facts, asked["machines"] == true).to_string())
 }
 
