--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,7 +1,8 @@
 //! Speaks the bench's wire for any number of planners: decodes each line, maps ids to small indices,
 //! calls the planner's method for that event, and writes its calls back. It decides nothing.
-use basaltpitch::host::{Given, Host, Outcome, Readiness, Value as Setting};
+use basaltpitch::host::{Host, Outcome, Readiness};
 use basaltpitch::logic::Planner;
+use basaltpitch_fields::{lay_out, names, Fields, Names};
 use basaltpitch_indices::{number_of, Door};
 use serde_json::Value;
 use std::collections::HashMap;
@@ -20,7 +21,7 @@
     /// Per task: launches without an outcome, and whether it has had its final answer.
     out: Vec<u32>,
     over: Vec<bool>,
-    names: HashMap<&'static str, Vec<String>>,
+    names: Names,
 }
 
 impl Line {
@@ -61,10 +62,6 @@
             self.tasks.leave(task);
         }
     }
-
-    fn name_index(&self, list: &str, name: &str) -> Option<usize> {
-        self.names.get(list)?.iter().position(|n| n == name)
-    }
 }
 
 impl Host for Line {
@@ -124,106 +121,23 @@
     }
 }
 
-/// One field of one message, read as its type or reported as missing or mistyped.
-struct Fields<'a>(&'a Value);
-
-impl Fields<'_> {
-    fn get<T>(&self, name: &str, read: impl Fn(&Value) -> Option<T>) -> Result<T, String> {
-        self.opt(name, read)?.ok_or_else(|| format!("field '{name}' is missing"))
-    }
-
-    fn opt<T>(&self, name: &str, read: impl Fn(&Value) -> Option<T>) -> Result<Option<T>, String> {
-        match self.0.get(name) {
-            None | Some(Value::Null) => Ok(None),
-            Some(v) => read(v).map(Some).ok_or_else(|| format!("field '{name}' is of the wrong type")),
-        }
-    }
-
-    fn whole(&self, name: &str) -> Result<i64, String> {
-        self.get(name, Value::as_i64)
-    }
-
-    fn number(&self, name: &str) -> Result<f64, String> {
-        self.get(name, Value::as_f64)
-    }
-
-    fn text(&self, name: &str) -> Result<String, String> {
-        self.get(name, |v| v.as_str().map(str::to_owned))
-    }
-
-    fn mark(&self, name: &str) -> Result<bool, String> {
-        Ok(self.opt(name, Value::as_bool)?.unwrap_or(false))
-    }
-
-    /// The place of a name in a list of the settings; `None` where the field is absent or 0.
-    fn name_of(&self, field: &str, list: &str, line: &Line) -> Result<Option<usize>, String> {
-        if self.0.get(field).and_then(Value::as_i64) == Some(0) {
-            return Ok(None);
-        }
-        match self.opt(field, |v| v.as_str().map(str::to_owned))? {
-            None => Ok(None),
-            Some(name) => line
-                .name_index(list, &name)
-                .map(Some)
-                .ok_or_else(|| format!("field '{field}' names nothing in the settings")),
-        }
-    }
-
-    fn name_index(&self, field: &str, list: &str, line: &Line) -> Result<usize, String> {
-        self.name_of(field, list, line)?.ok_or_else(|| format!("field '{field}' is missing"))
-    }
-
-    fn report(&self) -> Result<Vec<f64>, String> {
-        let row = self.opt("gauge", |v| v.as_array()?.iter().map(Value::as_f64).collect())?;
-        Ok(row.unwrap_or_default())
-    }
-
-    fn outcome(&self) -> Result<Outcome, String> {
-        Ok(match self.whole("verdict")? {
-            0 => Outcome::Ended,
-            5 => Outcome::Error,
-            11 => Outcome::Full,
-            110 => Outcome::TimedOut,
-            111 => Outcome::ConnectFailed,
-            104 => Outcome::Reset,
-            125 => Outcome::Cancelled,
-            114 => Outcome::Moot,
-            _ => return Err("field 'verdict' is none of the known outcomes".into()),
-        })
-    }
-}
-
-/// Lays the settings out under dotted names: objects by key, lists by position.
-fn lay_out(name: &str, value: &Value, given: &mut Given) {
-    let under = |key: &str| {
-        if name.is_empty() {
-            key.to_owned()
-        } else {
-            format!("{name}.{key}")
-        }
-    };
-    match value {
-        Value::Object(fields) => fields.iter().for_each(|(k, v)| lay_out(&under(k), v, given)),
-        Value::Array(items) => {
-            items.iter().enumerate().for_each(|(i, v)| lay_out(&under(&i.to_string()), v, given))
-        }
-        Value::Number(n) => {
-            given.insert(name.into(), Setting::Number(n.as_f64().unwrap_or(0.0)));
-        }
-        Value::Bool(b) => {
-            given.insert(name.into(), Setting::Number(f64::from(u8::from(*b))));
-        }
-        Value::String(s) => {
-            given.insert(name.into(), Setting::Text(s.clone()));
-        }
-        Value::Null => {}
-    }
+fn report(f: &Fields) -> Result<Vec<f64>, String> {
+    let row = f.opt("gauge", |v| v.as_array()?.iter().map(Value::as_f64).collect())?;
+    Ok(row.unwrap_or_default())
 }
 
-fn names(config: &Value, list: &str) -> Vec<String> {
-    let items = config.get(list).and_then(Value::as_array).cloned().unwrap_or_default();
-    let name = |v: &Value| v.as_str().or_else(|| v.get("name")?.as_str()).unwrap_or("").to_owned();
-    items.iter().map(name).collect()
+fn outcome(f: &Fields) -> Result<Outcome, String> {
+    Ok(match f.whole("verdict")? {
+        0 => Outcome::Ended,
+        5 => Outcome::Error,
+        11 => Outcome::Full,
+        110 => Outcome::TimedOut,
+        111 => Outcome::ConnectFailed,
+        104 => Outcome::Reset,
+        125 => Outcome::Cancelled,
+        114 => Outcome::Moot,
+        _ => return Err("field 'verdict' is none of the known outcomes".into()),
+    })
 }
 
 #[derive(Default)]
@@ -259,12 +173,8 @@
     fn event(&mut self, kind: &str, who: u64, f: &Fields) -> Result<(), String> {
         if kind == "configure" {
             let config = f.get("config", |v| v.is_object().then(|| v.clone()))?;
-            let mut given = Given::new();
-            lay_out("", &config, &mut given);
-            let mut line = Line { who, ..Line::default() };
-            for list in ["classes", "tenants", "localities", "machineTypes"] {
-                line.names.insert(list, names(&config, list));
-            }
+            let given = lay_out(&config);
+            let line = Line { who, names: names(&config), ..Line::default() };
             let seed = f.get("salt", |v| v.as_u64().or_else(|| v.as_i64().map(|n| n as u64)))?;
             let mut planner = Planner::new(line, seed, self.now, given);
             self.reply.push_str(&std::mem::take(&mut planner.host.text));
@@ -322,8 +232,8 @@
                     _ => return Err("field 'readiness' is none of the known states".into()),
                 };
                 let machine = p.host.machines.enter(e.text("machine")?);
-                let zone = e.name_of("az", "localities", &p.host)?.unwrap_or(0);
-                let kind = e.name_index("model", "machineTypes", &p.host)?;
+                let zone = e.name_of("az", "localities", &p.host.names)?.unwrap_or(0);
+                let kind = e.name_index("model", "machineTypes", &p.host.names)?;
                 let cell = e.opt("bay", Value::as_u64)?.unwrap_or(0) as usize;
                 let started = e.opt("startedAtUs", Value::as_i64)?.unwrap_or(0);
                 let left = |name| Ok::<f64, String>(e.opt(name, Value::as_f64)?.unwrap_or(0.0));
@@ -334,8 +244,8 @@
             p.list_ends();
         }
         "wanted" | "found" => {
-            let framework = f.name_index("priority", "classes", &p.host)?;
-            let tenant = f.name_of("account", "tenants", &p.host)?;
+            let framework = f.name_index("priority", "classes", &p.host.names)?;
+            let tenant = f.name_of("account", "tenants", &p.host.names)?;
             let service = f.get("deployment", Value::as_u64)?;
             let asks = (f.number("cpuAsk")?, f.number("memory")?);
             let time_left = f.whole("expiresInUs")?;
@@ -366,7 +276,7 @@
                 _ => {
                     let over = f.mark("noMore")?;
                     let why = f.opt("info", Value::as_i64)?.unwrap_or(0);
-                    let (outcome, report) = (f.outcome()?, f.report()?);
+                    let (outcome, report) = (outcome(f)?, report(f)?);
                     p.host.out[task] = p.host.out[task].saturating_sub(1);
                     p.resolved(task, outcome, why, over, &report);
                     if over || p.host.over[task] {
@@ -378,7 +288,7 @@
         "elapsed" => p.timer_due(f.get("ref", Value::as_u64)?),
         "checked" => {
             let machine = p.host.machines.enter(f.text("machine")?);
-            p.probed(machine, f.outcome()?, &f.report()?);
+            p.probed(machine, outcome(f)?, &report(f)?);
         }
         "memo" => {}
         _ => return Err("unknown message type".into()),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod drill;
 mod machine;
 mod measure;
+mod node;
 mod serve;
 mod tenants;
 
@@ -37,6 +38,8 @@
 enum Command {
     /// Run a planner
     Serve(serve::Serve),
+    /// Run a planner on the platform, from the configuration that it hands over
+    Node(node::Node),
     /// Run stand-in machines, with a register that lists them
     Machine(machine::Machine),
     /// Play a scripted day of trouble on loopback and judge the five rules by the traffic
@@ -96,6 +99,7 @@
     let json = cli.output == Output::Json;
     let done = match cli.command {
         Command::Serve(serve) => serve.run(json),
+        Command::Node(node) => node.run(),
         Command::Machine(machine) => machine.run(json),
         Command::Drill(drill) => drill.run(json),
         Command::Check { files, directory } => check(&files, directory, json),
