An error bars a machine only when another machine takes the task

The log: 255 launches ended in an error within 1 ms, most by three machines in turn, and nothing was launched for the next seconds.

The 32 ids with errors are well-formed set-ups, one a connection, of bad clients; machines answer each with cause 47 on any link, and links, resets (7), the coordinator's pauses (2) and the CPU (0.04 s in the worst second) do not fit the waits. Three errors bar three of ten machines for 3 s each, so that some 20 such set-ups bar the fleet: resolved() in src/logic.rs, Outcome::Error => BARRED.

Change: an error is not held against its machine until another machine takes the task; a second machine's error shows that the task is at fault, which is then given up at once. Two traces in tests/decisions.rs.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -100,6 +100,8 @@
     ran_at: i64,
     /// The first launch that may have run: its machine and when it was sent.
     unsure: Option<(usize, i64)>,
+    /// The machine that answered it with an error.
+    erred: Option<usize>,
     tried: Vec<usize>,
 }
 
@@ -501,6 +503,10 @@
             return;
         }
         t.phase = Phase::Placed;
+        // Another machine takes what one answered with an error: that one is at fault.
+        if let Some(m) = t.erred.filter(|&m| m != t.machine) {
+            self.mac.shun_until[m] = self.mac.shun_until[m].max(self.now + BARRED);
+        }
         let (f, took) = (t.framework, (self.now - t.sent_at) as f64);
         self.answer_us[f] += 0.1 * (took - self.answer_us[f]);
         if text(&self.given, "familyInfo.yesAt") == "running" {
@@ -552,9 +558,10 @@
         self.read_report(m, report);
         // A machine that fails is barred, and so is one that leaves: it turns tasks off or sends them away,
         // which the list tells only later. Where a line is long or room is short, others fit soon.
+        // An error is not held against it yet: a task that no machine can use would bar one after another.
         let bar = match end {
             Outcome::Full if why != 4 => 1_000_000,
-            Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Error | Outcome::Full => BARRED,
+            Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Full => BARRED,
             Outcome::Reset if phase == Phase::Out || why == 0 || why == 7 => BARRED,
             _ => 0,
         };
@@ -572,7 +579,9 @@
             t.unsure = t.unsure.or(Some((m, sent_at)));
         }
         t.phase = Phase::Waiting;
-        let spent = f64::from(t.launches) >= self.rule("permissions.attemptsCap");
+        // A second machine that errs shows that the task is at fault.
+        let useless = end == Outcome::Error && t.erred.replace(m).is_some();
+        let spent = useless || f64::from(t.launches) >= self.rule("permissions.attemptsCap");
         if spent || self.too_late(task) {
             self.give_up(task);
         } else if !self.place(task) {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -386,3 +386,37 @@
     "#]]
     .assert_eq(&trace);
 }
+
+/// A task that no machine can use had barred every machine that it was offered to, and usual tasks waited for
+/// seconds: a second error shows that the task is at fault, and neither machine is barred.
+#[test]
+fn a_task_that_two_machines_answer_with_an_error_bars_neither() {
+    let mut p = planner(&[], &[2.0, 9.0]);
+    small(&mut p, 0, 0);
+    end(&mut p, 0, Error, 0, false);
+    end(&mut p, 0, Error, 0, false);
+    small(&mut p, 1, 1);
+    expect![[r#"
+        10000 ms  launch task 0 on machine 1 for 3000 ms
+        10000 ms  launch task 0 on machine 0 for 3000 ms
+        10000 ms  decline task 0
+        10000 ms  launch task 1 on machine 1 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
+
+/// Where another machine takes what one answered with an error, that one is at fault and is left for a while.
+#[test]
+fn a_machine_whose_error_no_other_repeats_is_barred() {
+    let mut p = planner(&[], &[2.0, 9.0]);
+    small(&mut p, 0, 0);
+    end(&mut p, 0, Error, 0, false);
+    p.accepted(0);
+    small(&mut p, 1, 1);
+    expect![[r#"
+        10000 ms  launch task 0 on machine 1 for 3000 ms
+        10000 ms  launch task 0 on machine 0 for 3000 ms
+        10000 ms  launch task 1 on machine 0 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
