--- /dev/null
+++ b/cli/tests/node.rs
@@ -0,0 +1,253 @@
+//! The binary as the platform starts it, on loopback, against scripted owners, machines and a coordinator.
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+#[path = "../../platform/tests/stage/mod.rs"]
+mod stage;
+use stage::{configuration, entry, id, ready, said, set_up, update};
+
+/// A planner's process with its configuration file; it ends with the test.
+struct Node {
+    child: Child,
+    listen: String,
+    file: std::path::PathBuf,
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn free_address() -> String {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+}
+
+fn started(name: &str, coordinator: &str, machines: &[(&str, &str)]) -> Node {
+    let listen = free_address();
+    let file = std::env::temp_dir().join(format!("basaltpitch-{}-{name}.json", std::process::id()));
+    std::fs::write(&file, configuration(&listen, coordinator, machines).to_string()).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_basaltpitch"))
+        .args(["--log", "info", "node"])
+        .env("PROXY_CONFIG", &file)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // It says that it serves once it listens.
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    log.read_line(&mut line).unwrap();
+    assert!(line.contains("planner serves"), "{line}");
+    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    Node { child, listen, file }
+}
+
+/// One end of a conversation in lines.
+struct Peer {
+    read: BufReader<TcpStream>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        Peer { read: BufReader::new(stream) }
+    }
+
+    fn to(node: &Node) -> Peer {
+        Peer::new(TcpStream::connect(&node.listen).unwrap())
+    }
+
+    fn say(&mut self, line: &str) {
+        self.read.get_mut().write_all(format!("{line}\n").as_bytes()).unwrap();
+    }
+
+    /// The next line of a kind; tests are passed on the way. `None` at the end of the stream.
+    fn next(&mut self, kind: &str) -> Option<Value> {
+        loop {
+            let mut line = String::new();
+            if self.read.read_line(&mut line).map_or(true, |n| n == 0) {
+                return None;
+            }
+            let found: Value = serde_json::from_str(&line).unwrap();
+            if found["msg"] == "probe" {
+                let id = found["sid"].as_str().unwrap().to_owned();
+                self.say(&said("probed", &id, json!({"load": "x0:16;x1:32"}), 1));
+            } else if found["msg"] == kind {
+                return Some(found);
+            }
+        }
+    }
+}
+
+/// One call of the coordinator's: what was asked, and the way to reply.
+fn call(listener: &TcpListener) -> (String, TcpStream) {
+    let (stream, _) = listener.accept().unwrap();
+    (asked(&stream), stream)
+}
+
+fn asked(stream: &TcpStream) -> String {
+    let mut read = BufReader::new(stream);
+    let mut first = String::new();
+    read.read_line(&mut first).unwrap();
+    let mut line = String::new();
+    while read.read_line(&mut line).unwrap() > 2 {
+        line.clear();
+    }
+    first
+}
+
+fn reply(mut stream: &TcpStream, body: &Value) {
+    let body = body.to_string();
+    write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()).unwrap();
+}
+
+fn signal(node: &Node, name: &str) {
+    assert!(Command::new("kill").args([name, &node.child.id().to_string()]).status().unwrap().success());
+}
+
+/// A task's whole life on sockets; then SIGTERM, after which what is open is answered and the program ends.
+#[test]
+fn a_whole_life_and_the_order_to_stop() {
+    let (machine, coordinator) = (TcpListener::bind("127.0.0.1:0").unwrap(), free_address());
+    let at = machine.local_addr().unwrap().to_string();
+    let mut node = started("life", &coordinator, &[("a", &at)]);
+    let mut owner = Peer::to(&node);
+    owner.say(&said("probe", &id(1), json!({}), 0));
+    assert_eq!(owner.next("probed").unwrap()["code"], 1);
+    owner.say(&set_up(&id(2), json!({})));
+    let mut link = Peer::new(machine.accept().unwrap().0);
+    let open = link.next("open").unwrap();
+    assert_eq!(open["text"], format!("{}\r\nc=IN IP4 10.0.0.1\r\n", id(2)));
+    assert_eq!(
+        (&open["attrs"]["class"], &open["attrs"]["key"]),
+        (&json!("small"), &json!("000000000000000a"))
+    );
+    link.say(&ready(&id(2), "taken\r\n"));
+    assert_eq!(owner.next("ready").unwrap()["text"], "taken\r\n");
+    link.say(&said("close", &id(2), json!({}), 16));
+    assert_eq!(owner.next("close").unwrap()["code"], 16);
+    signal(&node, "-TERM");
+    owner.say(&set_up(&id(3), json!({})));
+    link.next("open").unwrap();
+    link.say(&ready(&id(3), "stays"));
+    owner.next("ready").unwrap();
+    assert!(owner.next("close").is_none(), "what stands is left running");
+    assert!(node.child.wait().unwrap().success());
+}
+
+/// A reply of the coordinator that breaks off changes nothing and is asked for again; after SIGHUP the new
+/// address is asked from the same number, a broken file is left alone, and nothing that is open is lost.
+#[test]
+fn the_coordinator_breaks_off_and_moves() {
+    let (old, new) = (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let machine = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = machine.local_addr().unwrap().to_string();
+    let node = started("moves", &old.local_addr().unwrap().to_string(), &[]);
+    let (first, mut stream) = call(&old);
+    assert!(first.contains("follow=1&"), "{first}");
+    let whole = update(5, &[entry("a", &at, "in_service", 0)]).to_string();
+    write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{}", whole.len(), &whole[..40]).unwrap();
+    drop(stream);
+    let (again, stream) = call(&old);
+    assert!(again.contains("follow=1&"), "{again}");
+    reply(&stream, &update(5, &[entry("a", &at, "in_service", 0)]));
+    assert!(asked(&stream).contains("follow=5&"));
+    let mut owner = Peer::to(&node);
+    owner.say(&set_up(&id(2), json!({})));
+    let mut link = Peer::new(machine.accept().unwrap().0);
+    link.next("open").unwrap();
+    let good = std::fs::read_to_string(&node.file).unwrap();
+    std::fs::write(&node.file, "{\"coordinator\":").unwrap();
+    signal(&node, "-HUP");
+    let moved = good.replace(&old.local_addr().unwrap().to_string(), &new.local_addr().unwrap().to_string());
+    std::fs::write(&node.file, moved).unwrap();
+    signal(&node, "-HUP");
+    assert!(call(&new).0.contains("follow=5&"));
+    link.say(&ready(&id(2), "taken"));
+    assert_eq!(owner.next("ready").unwrap()["text"], "taken");
+}
+
+/// Hundreds of connections that say nothing, bodies without an end and noise cost the usual owner nothing.
+#[test]
+fn strangers_are_closed_and_the_owner_is_served() {
+    let (machine, coordinator) = (TcpListener::bind("127.0.0.1:0").unwrap(), free_address());
+    let at = machine.local_addr().unwrap().to_string();
+    let node = started("strangers", &coordinator, &[("a", &at)]);
+    let mut owner = Peer::to(&node);
+    owner.say(&set_up(&id(2), json!({})));
+    let mut link = Peer::new(machine.accept().unwrap().0);
+    link.next("open").unwrap();
+    let silent: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(&node.listen).unwrap()).collect();
+    let mut endless = TcpStream::connect(&node.listen).unwrap();
+    let _ = endless.write_all(&vec![b'x'; 1 << 20]);
+    let mut noise = Peer::to(&node);
+    noise.say("\u{0}\u{1} {{{");
+    for mut stream in silent.into_iter().chain([endless]) {
+        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        // The end, or a reset: it is closed either way, and not by this side's patience.
+        let end = stream.read(&mut [0; 1]);
+        assert!(!matches!(&end, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock), "{end:?}");
+    }
+    assert!(noise.next("none").is_none());
+    link.say(&ready(&id(2), "taken"));
+    owner.next("ready").unwrap();
+}
+
+/// Killed outright, the next life starts from the configuration and what owners say stands.
+#[test]
+fn a_killed_planner_starts_again_from_nothing() {
+    let (machine, coordinator) = (TcpListener::bind("127.0.0.1:0").unwrap(), free_address());
+    let at = machine.local_addr().unwrap().to_string();
+    let mut node = started("killed", &coordinator, &[("a", &at)]);
+    // The first life tests the machine at once, over a link of its own.
+    drop(machine.accept().unwrap());
+    node.child.kill().unwrap();
+    node.child.wait().unwrap();
+    let node = started("again", &coordinator, &[("a", &at)]);
+    let mut owner = Peer::to(&node);
+    let extras = "cores:1;memory:2;service:00000000000000b1;at:a";
+    owner.say(&set_up(&id(4), json!({"extras": extras, "left": "4294967"})));
+    let mut link = Peer::new(machine.accept().unwrap().0);
+    link.say(&said("close", &id(4), json!({}), 16));
+    assert_eq!(owner.next("close").unwrap()["sid"], id(4));
+}
+
+#[test]
+fn wrong_configurations_end_with_code_2_and_name_their_place() {
+    let good = configuration("127.0.0.1:0", "127.0.0.1:1", &[]);
+    let mut cases = vec![("{".to_owned(), "not JSON")];
+    for (field, value) in [
+        ("seed", json!("zz")),
+        ("listen", json!("here")),
+        ("coordinator", json!(5)),
+        ("settings", Value::Null),
+    ] {
+        let mut wrong = good.clone();
+        wrong[field] = value;
+        cases.push((wrong.to_string(), field));
+    }
+    for (n, (text, names)) in cases.iter().enumerate() {
+        let file = std::env::temp_dir().join(format!("basaltpitch-{}-wrong-{n}.json", std::process::id()));
+        std::fs::write(&file, text).unwrap();
+        let out = Command::new(env!("CARGO_BIN_EXE_basaltpitch"))
+            .arg("node")
+            .env("PROXY_CONFIG", &file)
+            .output()
+            .unwrap();
+        let said = String::from_utf8_lossy(&out.stderr).into_owned();
+        std::fs::remove_file(&file).unwrap();
+        assert_eq!((out.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+        assert!(said.contains(names) && said.contains(".json"), "{said}");
+    }
+    let out = Command::new(env!("CARGO_BIN_EXE_basaltpitch"))
+        .arg("node")
+        .env_remove("PROXY_CONFIG")
+        .output()
+        .unwrap();
+    assert_eq!(out.status.code(), Some(2));
+}
