The load of a mostly idle fleet is kept to the machines that it needs

Change: the fullest machines that all load would fill to 0.4 go before programs and homes, where planners can keep up with the fleet. docs/design.md, exception 10.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,6 +23,8 @@
 const POOR: f64 = 0.5;
 /// Launches to a machine that are remembered for its cold budget.
 const MOST_SENDS: usize = 256;
+/// How full the machines may be on average that the fleet's load is kept to; the others run empty.
+const FILLED: f64 = 0.4;
 /// The memory share for a task whose margin has melted: asks count in full but are not used in full.
 const MEMORY_EASED: f64 = 1.1;
 /// Share in use, over all reports, from which on turns at cold machines come first.
@@ -362,6 +364,7 @@
         let mut crowded = Vec::new();
         let mut room = (f64::MAX, 0, 0.0, 0.0, Vec::new());
         let holds = self.list_holds();
+        let kept = self.kept(ratio);
         for m in self.ready().filter(|&m| holds && self.may_send(task, m)) {
             let (c, big_b, used_memory, later) = self.load(m, ratio);
             let root = (big_b + b).sqrt();
@@ -381,7 +384,7 @@
                 over_memory = over_memory.min(asked_memory + memory - self.mac.memory[m]);
             }
             if over_cores <= 0.0 && over_memory <= 0.0 {
-                fits.push((m, ucac, self.suits(m, f, s, ucac)));
+                fits.push((m, ucac, self.suits(m, f, s, ucac, kept[m])));
             } else if ease == 1.0 && over_memory <= 0.0 && over_cores <= bears * self.mac.cores[m] {
                 crowded.push((m, -over_cores, 0));
             } else if self.frameworks[f].priority > 0.0 && fits.is_empty() {
@@ -795,8 +798,9 @@
 
     /// How well a fitting machine suits: it is cold and, among many planners, this one's turn, while the
     /// fleet is pressed (mass losses, deploys); it is calm, for what crowding stops; few own tasks start
-    /// there; it has the program, as a start takes far longer without; it is near; it stays calm for others.
-    fn suits(&self, m: usize, f: usize, s: usize, ucac: f64) -> u8 {
+    /// there; it is one of those that the fleet's load is kept to; it has the program, as a start takes far
+    /// longer without; it is near; it stays calm for others.
+    fn suits(&self, m: usize, f: usize, s: usize, ucac: f64, kept: bool) -> u8 {
         let calm = |f: usize| self.frameworks[f].calm * self.mac.cores[m] >= ucac;
         let short = self.own(m).filter(|t| t.ran_at == 0).count() < LINE;
         let program = self.own(m).any(|t| t.service == s && t.sent_at >= self.mac.started[m]);
@@ -805,10 +809,34 @@
         let pressed = self.average.0.mean.max(self.average.1.mean) > PRESSED;
         let many = || self.rule("familyInfo.coldSends") < self.rule("nInstances");
         let turn = self.now < self.mac.cold_until[m] && pressed && many();
-        let marks = [turn, self.frameworks[f].bears >= 0.0 || calm(f), short, program, near, calm(f), others];
+        let bears = self.frameworks[f].bears >= 0.0 || calm(f);
+        let marks = [turn, bears, short, kept, program, near, calm(f), others];
         marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
+    /// The fullest machines that the load of all would fill to FILLED: it is kept to them, as each machine that
+    /// holds a task has a price. Many planners can't keep up with a fleet and would all crowd the same few.
+    fn kept(&self, ratio: f64) -> Vec<bool> {
+        if self.probe_every() >= STALE {
+            return vec![true; self.mac.listed.len()];
+        }
+        let full = |m: usize| {
+            let (c, _, memory, _) = self.load(m, ratio);
+            (m, c, memory, (c / self.mac.cores[m].max(1.0)).max(memory / self.mac.memory[m].max(1.0)))
+        };
+        let mut all: Vec<(usize, f64, f64, f64)> = self.ready().map(full).collect();
+        all.sort_by(|a, b| b.3.total_cmp(&a.3).then(a.0.cmp(&b.0)));
+        let mut cores = all.iter().map(|x| x.1).sum::<f64>();
+        let mut memory = all.iter().map(|x| x.2).sum::<f64>();
+        let mut kept = vec![false; self.mac.listed.len()];
+        for (m, ..) in all {
+            kept[m] = cores > 0.0 || memory > 0.0;
+            cores -= FILLED * self.mac.cores[m];
+            memory -= FILLED * self.mac.memory[m];
+        }
+        kept
+    }
+
     /// Own placed tasks on a machine that give way to a framework: of lower priority, and free to run again.
     fn movable(&self, m: usize, f: usize) -> Vec<usize> {
         let of = |o: usize| &self.frameworks[self.tasks[o].framework];
