A launch that later offers overtook is not waited for, and its machine is left

Checked: every line logged. The links were alive, as set-ups before and after on the same link were answered within 10 ms (link 21 at 6.2 to 8.0 s); no second answer came later; the CPU was idle. Answers are lost on the way, at a few machines for a second or two each. A machine looks at one offer at a time, so that an answer to a later offer shows an earlier one to be lost. Nothing in src/logic.rs drew that conclusion; only time-outs ended such launches.

Change: overtaken() cancels own launches that were sent 50 ms before an answered one, and bars the machine as a time-out does.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,8 @@
 const MEMORY_EASED: f64 = 1.1;
 /// Share in use, over all reports, from which on turns at cold machines come first.
 const PRESSED: f64 = 0.6;
+/// An offer that a machine answers was sent so long after an own one without an answer: that answer is lost.
+const OVERTAKEN: i64 = 50_000;
 /// How long a failure of any kind bars a machine.
 const BARRED: i64 = 3_000_000;
 const TICK: i64 = 100_000;
@@ -506,6 +508,7 @@
             return;
         }
         t.phase = Phase::Placed;
+        let (m, sent_at) = (t.machine, t.sent_at);
         // Another machine takes what one answered with an error: that one is at fault.
         if let Some(m) = t.erred.filter(|&m| m != t.machine) {
             self.mac.shun_until[m] = self.mac.shun_until[m].max(self.now + BARRED);
@@ -514,6 +517,23 @@
         self.answer_us[f] += 0.1 * (took - self.answer_us[f]);
         if text(&self.given, "familyInfo.yesAt") == "running" {
             self.tasks[task].ran_at = self.now;
+        } else {
+            self.overtaken(m, sent_at);
+        }
+    }
+
+    /// A machine looks at one offer at a time, so that an answer shows earlier ones to be lost on the way: their
+    /// launches are not waited for any longer.
+    fn overtaken(&mut self, m: usize, sent_at: i64) {
+        let lost = |&o: &usize| {
+            let t = &self.tasks[o];
+            t.phase == Phase::Out && t.sent_at + OVERTAKEN < sent_at
+        };
+        let lost: Vec<usize> = self.mac.held[m].iter().copied().filter(lost).collect();
+        if !lost.is_empty() && self.rule("permissions.cancelling") > 0.0 {
+            // More of them may be lost there: it is left as one that does not answer.
+            self.mac.shun_until[m] = self.mac.shun_until[m].max(self.now + BARRED);
+            lost.into_iter().for_each(|o| self.host.cancel(o, self.tasks[o].launches - 1));
         }
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -444,3 +444,26 @@
     "#]]
     .assert_eq(&format!("idle\n{}well filled\n{}", p.host.text, q.host.text));
 }
+
+/// An answer that was lost on its way had been waited for until its time-out, and its machine was barred, though
+/// the machine went on to answer later offers: it looks at one at a time.
+#[test]
+fn an_offer_that_later_ones_overtook_is_not_waited_for() {
+    let mut p = planner(&[], &[2.0, 9.0]);
+    small(&mut p, 0, 0);
+    at_time(&mut p, 10_040_000);
+    small(&mut p, 1, 0);
+    p.accepted(1);
+    at_time(&mut p, 10_100_000);
+    small(&mut p, 2, 0);
+    p.accepted(2);
+    end(&mut p, 0, Cancelled, 0, false);
+    expect![[r#"
+        10000 ms  launch task 0 on machine 1 for 3000 ms
+        10040 ms  launch task 1 on machine 1 for 3000 ms
+        10100 ms  launch task 2 on machine 1 for 3000 ms
+        10100 ms  cancel launch 0 of task 0
+        10100 ms  launch task 0 on machine 0 for 3000 ms
+    "#]]
+    .assert_eq(&p.host.text);
+}
