--- a/src/logic.rs
+++ b/src/logic.rs
@@ -109,6 +109,9 @@
     tried: Vec<usize>,
 }
 
+/// C and B of a machine, the memory in use there, and what own binds ask that neither can contain.
+type Load = (f64, f64, f64, Room);
+
 /// Figures of machines, in parallel arrays under the machine's index.
 #[derive(Default)]
 struct Machines {
@@ -366,9 +369,12 @@
         let mut crowded = Vec::new();
         let mut room = (f64::MAX, 0, 0.0, 0.0, Vec::new());
         let holds = self.list_holds();
-        let kept = self.kept(ratio);
-        for m in self.ready().filter(|&m| holds && self.may_send(task, m)) {
-            let (c, big_b, used_memory, later) = self.load(m, ratio);
+        let loads: Vec<_> = self.ready().map(|m| (m, self.load(m, ratio))).collect();
+        let kept = self.kept(&loads);
+        for (m, (c, big_b, used_memory, later)) in loads {
+            if !holds || !self.may_send(task, m) {
+                continue;
+            }
             let root = (big_b + b).sqrt();
             let ucac = c + mu + D * root;
             let over_cores = c + mu + (1.0 - ease) * D * root - HEADROOM * self.mac.cores[m];
@@ -757,7 +763,7 @@
     /// C and B of a machine and the memory in use there: as reported, brought up to date by what the list
     /// shows as asked since, and own binds that neither can contain. Without a report that is not stale, what
     /// the list shows as asked times the share in use, or the average where it shows nothing.
-    fn load(&self, m: usize, ratio: f64) -> (f64, f64, f64, Room) {
+    fn load(&self, m: usize, ratio: f64) -> Load {
         let mac = &self.mac;
         let (mut known, mut more, mut b, mut later) = (0.0, 0.0, 0.0, (0.0, 0.0));
         let told_at = if self.view { mac.view_at[m].max(mac.report_at[m]) } else { mac.report_at[m] };
@@ -836,15 +842,14 @@
 
     /// The fullest machines that the load of all would fill to FILLED: it is kept to them, as each machine that
     /// holds a task has a price. Many planners can't keep up with a fleet and would all crowd the same few.
-    fn kept(&self, ratio: f64) -> Vec<bool> {
+    fn kept(&self, loads: &[(usize, Load)]) -> Vec<bool> {
         if self.probe_every() >= STALE {
             return vec![true; self.mac.listed.len()];
         }
-        let full = |m: usize| {
-            let (c, _, memory, _) = self.load(m, ratio);
+        let full = |&(m, (c, _, memory, _)): &(usize, Load)| {
             (m, c, memory, (c / self.mac.cores[m].max(1.0)).max(memory / self.mac.memory[m].max(1.0)))
         };
-        let mut all: Vec<(usize, f64, f64, f64)> = self.ready().map(full).collect();
+        let mut all: Vec<(usize, f64, f64, f64)> = loads.iter().map(full).collect();
         all.sort_by(|a, b| b.3.total_cmp(&a.3).then(a.0.cmp(&b.0)));
         let mut cores = all.iter().map(|x| x.1).sum::<f64>();
         let mut memory = all.iter().map(|x| x.2).sum::<f64>();
