A line that a machine began and never ends does not hold its link

An answer that stops short on a connection left open takes along whatever is open there until its time is up (3 s and more), while ends are owed within 1 s.

--- a/cli/tests/node.rs
+++ b/cli/tests/node.rs
@@ -198,6 +198,32 @@
     owner.next("ready").unwrap();
 }
 
+/// An answer that stops short on a connection left open took what was open there along until its time was up,
+/// and nothing more was heard on that connection. It is given up, and the machine is dialled anew.
+#[test]
+fn a_line_that_never_ends_does_not_hold_its_link() {
+    let (machine, coordinator) = (TcpListener::bind("127.0.0.1:0").unwrap(), free_address());
+    let at = machine.local_addr().unwrap().to_string();
+    let node = started("half", &coordinator, &[("a", &at)]);
+    let mut owner = Peer::to(&node);
+    (2..4).for_each(|n| owner.say(&set_up(&id(n), json!({}))));
+    let mut link = Peer::new(machine.accept().unwrap().0);
+    (2..4).for_each(|_| drop(link.next("open").unwrap()));
+    link.say(&ready(&id(2), "stands"));
+    owner.next("ready").unwrap();
+    link.read.get_mut().write_all(b"{\"msg\":\"ready\",\"sid\":\"00").unwrap();
+    // Nothing more is said on it, not even to tests: that would end the line.
+    link.read.read_to_end(&mut Vec::new()).expect("the link is given up");
+    let mut next = Peer::new(machine.accept().unwrap().0);
+    next.say(&said("close", &id(2), json!({}), 16));
+    loop {
+        let end = owner.next("close").unwrap();
+        if end["sid"] == id(2) {
+            break assert_eq!(end["code"], 16);
+        }
+    }
+}
+
 /// Killed outright, the next life starts from the configuration and what owners say stands.
 #[test]
 fn a_killed_planner_starts_again_from_nothing() {
