--- /dev/null
+++ b/council/src/voter.rs
@@ -0,0 +1,126 @@
+//! A voter: one vote for each duty, out to one member at a time.
+use crate::{Answer, Note, Terms};
+use std::collections::BTreeMap;
+
+/// What a voter keeps of one duty.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Kept<M> {
+    /// The highest token that it voted for, or was told is given back.
+    pub token: u64,
+    /// To whom the vote went out, and until when it binds; `None`: given back.
+    pub holder: Option<M>,
+    pub until: i64,
+    pub note: Note,
+}
+
+/// `D` names duties; `M` names members, each process of its own.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Voter<D, M> {
+    terms: Terms,
+    /// Nothing is voted before this time.
+    from: i64,
+    /// How many of the other voters must still tell what they keep: see `learnt`.
+    lacks: Option<Lacks>,
+    kept: BTreeMap<D, Kept<M>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Lacks {
+    voters: usize,
+    /// Who told, and whether it had kept everything.
+    told: BTreeMap<usize, bool>,
+}
+
+impl<D: Ord + Clone, M: PartialEq + Clone> Voter<D, M> {
+    /// A voter of a council that never voted before.
+    pub fn new(terms: Terms, now: i64) -> Self {
+        Voter { terms, from: now, lacks: None, kept: BTreeMap::new() }
+    }
+
+    /// A voter without what it kept, among so many in all. It may have voted a moment ago: it waits until
+    /// that binds nobody. It may have been one of the two that knew of the newest token or note: it hears the
+    /// others.
+    pub fn lost(terms: Terms, now: i64, voters: usize) -> Self {
+        let lacks = (voters > 1).then(|| Lacks { voters, told: BTreeMap::new() });
+        Voter { terms, from: now + terms.wait(), lacks, kept: BTreeMap::new() }
+    }
+
+    /// A voter with what it kept. How long it was away is not known: what is out binds for a whole term more.
+    pub fn restored(terms: Terms, now: i64, kept: impl IntoIterator<Item = (D, Kept<M>)>) -> Self {
+        let mut voter = Voter { kept: kept.into_iter().collect(), ..Voter::new(terms, now) };
+        voter.kept.values_mut().for_each(|k| k.until = now + terms.wait());
+        voter
+    }
+
+    /// Another voter told what it keeps of tokens and notes, and whether that is all that it ever kept.
+    /// Enough have told once every majority that this voter was part of has another member among them; or once
+    /// all others have, as there is nobody more to ask.
+    pub fn learnt(&mut self, from: usize, whole: bool, kept: impl IntoIterator<Item = (D, u64, Note)>) {
+        let Some(lacks) = &mut self.lacks else { return };
+        lacks.told.insert(from, whole);
+        let wholes = lacks.told.values().filter(|w| **w).count();
+        let enough = wholes > lacks.voters - (lacks.voters / 2 + 1) || lacks.told.len() + 1 >= lacks.voters;
+        for (duty, token, note) in kept {
+            let new = || Kept { token: 0, holder: None, until: 0, note: Note::default() };
+            let k = self.kept.entry(duty).or_insert_with(new);
+            k.token = k.token.max(token);
+            k.note = note.max(std::mem::take(&mut k.note));
+        }
+        if enough {
+            self.lacks = None;
+        }
+    }
+
+    /// Whether it has all that it ever kept, or learnt it again.
+    pub fn is_whole(&self) -> bool {
+        self.lacks.is_none()
+    }
+
+    /// A member asks for a duty under a token of its choice, or for a term more under the one that it has.
+    /// With the vote goes its note, if it brings one.
+    pub fn asked(&mut self, now: i64, duty: &D, member: &M, token: u64, note: Option<Note>) -> Answer {
+        if now < self.from || self.lacks.is_some() {
+            return Answer::Refused { token: 0, left: (self.from - now).max(self.terms.drift) };
+        }
+        let new = || Kept { token: 0, holder: None, until: 0, note: Note::default() };
+        let kept = self.kept.entry(duty.clone()).or_insert_with(new);
+        let its = kept.holder.as_ref() == Some(member) && kept.token == token;
+        if !its {
+            if kept.holder.is_some() && now < kept.until {
+                return Answer::Refused { token: kept.token, left: kept.until - now };
+            }
+            if token <= kept.token {
+                return Answer::Refused { token: kept.token, left: 0 };
+            }
+        }
+        (kept.token, kept.holder, kept.until) = (token, Some(member.clone()), now + self.terms.term);
+        let before = kept.note.clone();
+        if let Some(note) = note.filter(|n| n.token == token && *n > kept.note) {
+            kept.note = note;
+        }
+        Answer::Granted { note: before }
+    }
+
+    /// A member gives a vote back: it does not hold the duty, or does not act on it any more. True where the
+    /// vote is free by this. An asking under that token that comes late finds nothing.
+    pub fn given_back(&mut self, duty: &D, member: &M, token: u64) -> bool {
+        let Some(kept) = self.kept.get_mut(duty) else { return false };
+        let its = kept.holder.as_ref() == Some(member) && kept.token == token;
+        if its {
+            kept.holder = None;
+        } else if kept.holder.is_none() {
+            kept.token = kept.token.max(token);
+        }
+        its
+    }
+
+    /// Everything that it keeps, for a store and for operators.
+    pub fn kept(&self) -> impl Iterator<Item = (&D, &Kept<M>)> {
+        self.kept.iter()
+    }
+
+    /// The time from which on it votes, if it is whole.
+    pub fn votes_from(&self) -> i64 {
+        self.from
+    }
+}
