--- a/cli/src/ask.rs
+++ b/cli/src/ask.rs
@@ -65,7 +65,7 @@
 }
 
 /// Connects, sends one frame and gives back the first answer.
-fn ask(at: &At, role: Role, body: Body, within: Duration) -> Result<Body, Failure> {
+pub fn ask(at: &At, role: Role, body: Body, within: Duration) -> Result<Body, Failure> {
     let At { planner, login } = at;
     let failed = |e: String| Failure::Failed(format!("{planner}: {e}"));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -112,7 +112,9 @@
 }
 
 /// Columns that come first in a table, in this order.
-const FIRST: [&str; 16] = [
+const FIRST: [&str; 18] = [
+    "voter",
+    "duty",
     "tenant",
     "was",
     "login",
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `basaltpitch`: the planner service and the operators' command line.
 mod ask;
 mod constraints;
+mod council;
 mod drill;
 mod machine;
 mod measure;
@@ -38,6 +39,10 @@
 enum Command {
     /// Run a planner
     Serve(serve::Serve),
+    /// Run a voter of the council, which agrees on which planner has which seat
+    Voter(council::Vote),
+    /// Show who holds what, as each voter of the council has it
+    Council(council::Show),
     /// Run a planner on the platform, from the configuration that it hands over
     Node(node::Node),
     /// Run stand-in machines, with a register that lists them
@@ -99,6 +104,8 @@
     let json = cli.output == Output::Json;
     let done = match cli.command {
         Command::Serve(serve) => serve.run(json),
+        Command::Voter(voter) => voter.run(json),
+        Command::Council(council) => council.run(json),
         Command::Node(node) => node.run(),
         Command::Machine(machine) => machine.run(json),
         Command::Drill(drill) => drill.run(json),
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -1,12 +1,18 @@
-//! `basaltpitch serve`: one planner.
+//! `basaltpitch serve`: one planner, under a name and number of its own or under a seat of the council.
+use crate::council::{council_of, open, seats, told_to_stop};
 use crate::{load, Failure};
 use basaltpitch::host::{Given, Value};
+use basaltpitch_agent::session::Party;
+use basaltpitch_agent::wire::Role;
 use basaltpitch_planner::core::Who;
-use basaltpitch_planner::service::Start;
-use basaltpitch_records::installation::{Laid, Seat};
-use basaltpitch_store::{Found, Store};
+use basaltpitch_planner::council::{self, Tenure, Wish, Word};
+use basaltpitch_planner::service::{self, Start};
+use basaltpitch_records::installation::{Installation, Laid, Seat};
+use std::future::Future;
 use std::io::Write;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
+use std::rc::Rc;
+use tokio::sync::mpsc;
 
 #[derive(clap::Args)]
 pub struct Serve {
@@ -14,11 +20,15 @@
     #[arg(required = true)]
     files: Vec<PathBuf>,
     /// This planner's name; a successor under the same name takes over what it placed
-    #[arg(long)]
-    name: String,
+    #[arg(long, required_unless_present = "seat")]
+    name: Option<String>,
     /// Its number among the installation's planners, from 0
-    #[arg(long, default_value_t = 0)]
+    #[arg(long, default_value_t = 0, conflicts_with = "seat")]
     number: usize,
+    /// Take a seat of the council, which gives name, number and epoch: `any`, or one by its name, such as
+    /// planner-3. Waits as a spare while none is free
+    #[arg(long, conflicts_with = "name")]
+    seat: Option<String>,
     /// The zone that it is in
     #[arg(long)]
     zone: String,
@@ -29,7 +39,7 @@
     #[arg(long, default_value = "127.0.0.1:7410")]
     listen: String,
     /// Its incarnation; later lives need a higher one. By default the time of its start in microseconds
-    #[arg(long)]
+    #[arg(long, conflicts_with = "seat")]
     epoch: Option<u64>,
     /// Where chance starts from; by default its epoch
     #[arg(long)]
@@ -37,28 +47,21 @@
     /// A folder for what outlives this planner; two planners may share it
     #[arg(long)]
     state: Option<PathBuf>,
-    /// Write everything that the decisions are told, and their calls, into this file
+    /// Write everything that the decisions are told, and their calls, into this file; under a seat its name
+    /// ends with the epoch
     #[arg(long)]
     record: Option<PathBuf>,
 }
 
-impl Serve {
-    /// Opens what an earlier life of this planner left.
-    fn open(&self, folder: &Path) -> Result<Store, Failure> {
-        let wrong = |e: String| Failure::Wrong(format!("--state {}: {e}", folder.display()));
-        if self.name.contains(['/', '\\']) || self.name.starts_with('.') {
-            return Err(Failure::Wrong(format!("--name: found {:?}; expected a plain name", self.name)));
-        }
-        std::fs::create_dir_all(folder).map_err(|e| wrong(e.to_string()))?;
-        let path = folder.join(format!("{}.store", self.name));
-        let (store, found) = Store::open(&path).map_err(|e| wrong(e.to_string()))?;
-        if let Found::SetAside { to, why } = found {
-            let (file, to) = (path.display(), to.display());
-            tracing::error!(%file, %to, why, "a file that cannot be read was set aside");
-        }
-        Ok(store)
-    }
+/// Who a planner is for one life.
+struct Life {
+    name: String,
+    number: usize,
+    epoch: u64,
+    tenure: Option<Tenure>,
+}
 
+impl Serve {
     pub fn run(self, json: bool) -> Result<(), Failure> {
         let installation = load(&self.files)?;
         let zones = installation.names("zones");
@@ -69,50 +72,153 @@
                 zones.join(", ")
             )));
         }
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| Failure::Failed(e.to_string()))?;
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let started = since.map_or(1, |d| d.as_micros() as u64);
+        let council = council_of(&installation);
+        match (&self.name, &self.seat, council) {
+            // Two planners under one number would each spend the whole of its part of the budgets.
+            (Some(name), _, Some(_)) => Err(Failure::Wrong(format!(
+                "--name: found {name:?} beside a council; expected --seat any or a seat's name"
+            ))),
+            (None, Some(seat), None) => Err(Failure::Wrong(format!(
+                "--seat: found {seat:?} without a council; expected one in the installation, or --name"
+            ))),
+            (None, Some(seat), Some((terms, voters))) => {
+                let all = seats(&installation);
+                let may: Vec<Rc<str>> =
+                    all.iter().filter(|s| seat == "any" || ***s == **seat).cloned().collect();
+                if may.is_empty() {
+                    let most = all.len() - 1;
+                    return Err(Failure::Wrong(format!(
+                        "--seat: found {seat:?}; expected any, or planner-0 to planner-{most}"
+                    )));
+                }
+                let name = format!("process-{}", std::process::id());
+                let me = Party { role: Role::Planner, name, epoch: started, link: 0, login: String::new() };
+                let seed = self.seed.unwrap_or(started);
+                let start = council::Start { terms, voters, seats: may, me, seed };
+                let local = tokio::task::LocalSet::new();
+                local.block_on(&runtime, self.under_seats(&installation, &all, start, json))
+            }
+            (Some(name), None, None) => {
+                let (name, number) = (name.clone(), self.number);
+                let epoch = self.epoch.unwrap_or(started);
+                let life = Life { name, number, epoch, tenure: None };
+                let stop = async {
+                    let _ = tokio::signal::ctrl_c().await;
+                };
+                runtime.block_on(self.live(&installation, life, stop, json))
+            }
+            (Some(_), Some(_), None) | (None, None, _) => Err(Failure::Wrong("--name: expected one".into())),
+        }
+    }
+
+    /// Waits for a seat, serves under it until it is lost, and waits again; until it is told to stop.
+    async fn under_seats(
+        &self,
+        installation: &Installation,
+        all: &[Rc<str>],
+        start: council::Start,
+        json: bool,
+    ) -> Result<(), Failure> {
+        let (tenure, (words_out, mut words), (wishes, wishes_in)) =
+            (Tenure::default(), mpsc::channel(16), mpsc::channel(4));
+        let council = tokio::task::spawn_local(council::run(start, tenure.clone(), words_out, wishes_in));
+        let stopped = told_to_stop();
+        tokio::pin!(stopped);
+        tracing::info!("waiting for a seat");
+        let done = loop {
+            let (seat, token) = tokio::select! {
+                () = &mut stopped => break Ok(()),
+                word = words.recv() => match word {
+                    Some(Word::Seated { seat, token }) => (seat, token),
+                    Some(Word::Unseated) => {
+                        let _ = wishes.send(Wish::Again).await;
+                        continue;
+                    }
+                    None => break Err(Failure::Failed("the council's task ended".into())),
+                },
+            };
+            let number = all.iter().position(|s| *s == seat).unwrap_or(0);
+            let life = Life { name: seat.to_string(), number, epoch: token, tenure: Some(tenure.clone()) };
+            let mut ends = false;
+            let stop = async {
+                tokio::select! {
+                    _ = words.recv() => {}
+                    () = &mut stopped => ends = true,
+                }
+            };
+            let lived = self.live(installation, life, stop, json).await;
+            if ends || lived.is_err() {
+                break lived;
+            }
+            tracing::warn!(seat = &*seat, "no planner any more; waiting for a seat as a spare");
+            let _ = wishes.send(Wish::Again).await;
+        };
+        // Nothing acts under the seat any more: a spare can have it at once.
+        let _ = wishes.send(Wish::Leave).await;
+        let _ = council.await;
+        done
+    }
+
+    /// Serves until `stop` is done.
+    async fn live(
+        &self,
+        installation: &Installation,
+        life: Life,
+        stop: impl Future<Output = ()>,
+        json: bool,
+    ) -> Result<(), Failure> {
+        let Life { name, number, epoch, tenure } = life;
         let planners = installation.all.number("planners").unwrap_or(1.0) as usize;
-        if self.number >= planners {
+        if number >= planners {
             let most = planners - 1;
-            return Err(Failure::Wrong(format!("--number: found {}; expected 0 to {most}", self.number)));
+            return Err(Failure::Wrong(format!("--number: found {number}; expected 0 to {most}")));
         }
-        let seat = Seat { number: self.number, planners, zone: self.zone.clone() };
+        let seat = Seat { number, planners, zone: self.zone.clone() };
         let value = |laid| match laid {
             Laid::Number(n) => Value::Number(n),
             Laid::Text(t) => Value::Text(t),
         };
         let given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
-        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        let epoch = self.epoch.unwrap_or(since.map_or(1, |d| d.as_micros() as u64));
-        let clauses = crate::clauses_of(&installation)?;
-        let directory = crate::directory_of(&installation)?;
-        let store = self.state.as_ref().map(|folder| self.open(folder)).transpose()?;
+        let clauses = crate::clauses_of(installation)?;
+        let directory = crate::directory_of(installation)?;
+        let store = match (self.state.as_ref().map(|folder| open(folder, &name)).transpose(), &tenure) {
+            (Ok(store), _) => store,
+            // The one before may still have the file, stopped as it is: the seat matters more.
+            (Err(Failure::Wrong(why) | Failure::Failed(why)), Some(_)) => {
+                tracing::error!(why, "serving without what is remembered");
+                None
+            }
+            (Err(wrong), None) => return Err(wrong),
+        };
         let record = self.record.as_ref().map(|path| {
-            let file = std::fs::File::create(path);
+            let mut path = path.clone().into_os_string();
+            if tenure.is_some() {
+                path.push(format!(".{epoch}"));
+            }
+            let file = std::fs::File::create(&path);
             let file = file.map_err(|e| Failure::Wrong(format!("--record {}: {e}", path.display())))?;
             Ok::<Box<dyn Write + Send>, Failure>(Box::new(file))
         });
         let record = record.transpose()?;
-        let who = Who { name: self.name, epoch, seed: self.seed.unwrap_or(epoch), register: self.register };
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| Failure::Failed(e.to_string()))?;
-        runtime.block_on(async {
-            let listener = tokio::net::TcpListener::bind(&self.listen).await;
-            let listener = listener.map_err(|e| Failure::Wrong(format!("--listen {}: {e}", self.listen)))?;
-            let at = listener.local_addr().map_err(|e| Failure::Failed(e.to_string()))?;
-            if json {
-                println!(
-                    "{}",
-                    serde_json::json!({"listening": at.to_string(), "epoch": epoch, "name": who.name})
-                );
-            } else {
-                println!("{} listens on {at}, epoch {epoch}", who.name);
-            }
-            let _ = std::io::stdout().flush();
-            let stop = async {
-                let _ = tokio::signal::ctrl_c().await;
-            };
-            let start = Start { who, given, record, clauses, directory, store };
-            basaltpitch_planner::service::serve(listener, start, stop).await;
-            Ok(())
-        })
+        let who = Who { name, epoch, seed: self.seed.unwrap_or(epoch), register: self.register.clone() };
+        let listener = tokio::net::TcpListener::bind(&self.listen).await;
+        let listener = listener.map_err(|e| Failure::Wrong(format!("--listen {}: {e}", self.listen)))?;
+        let at = listener.local_addr().map_err(|e| Failure::Failed(e.to_string()))?;
+        if json {
+            println!(
+                "{}",
+                serde_json::json!({"listening": at.to_string(), "epoch": epoch, "name": who.name})
+            );
+        } else {
+            println!("{} listens on {at}, epoch {epoch}", who.name);
+        }
+        let _ = std::io::stdout().flush();
+        let start = Start { who, given, record, clauses, directory, store, tenure };
+        service::serve(listener, start, stop).await;
+        Ok(())
     }
 }
--- /dev/null
+++ b/cli/tests/council.rs
@@ -0,0 +1,225 @@
+//! Several processes of the binary on loopback: voters, planners under seats, stand-in machines. Processes are
+//! killed, stopped, woken and told to stop; whoever holds the seat, its epoch only rises.
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A process of the binary, and the lines that it prints; it ends with the test.
+struct Process {
+    child: Child,
+    lines: Receiver<Value>,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn start(args: &[&str]) -> Process {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_basaltpitch"))
+            .args(args)
+            .args(["-o", "json"])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let (found, lines) = channel();
+        let out = BufReader::new(child.stdout.take().unwrap());
+        std::thread::spawn(move || {
+            for line in out.lines().map_while(Result::ok) {
+                let _ = found.send(serde_json::from_str(&line).unwrap_or(Value::Null));
+            }
+        });
+        Process { child, lines }
+    }
+
+    fn next(&self) -> Value {
+        self.lines.recv_timeout(PATIENCE).expect("a line in time")
+    }
+
+    fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+}
+
+struct Site {
+    folder: PathBuf,
+    file: String,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Site {
+    /// An installation with three voters on free ports, and so many seats.
+    fn new(name: &str, planners: usize) -> Site {
+        let free = || TcpListener::bind("127.0.0.1:0").unwrap();
+        let ports = [free(), free(), free()].map(|l| l.local_addr().unwrap());
+        let folder = std::env::temp_dir().join(format!("basaltpitch-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let file = folder.join("site.rec");
+        let voters: Vec<String> =
+            ports.iter().enumerate().map(|(n, a)| format!("{{name: \"v{n}\", address: \"{a}\"}}")).collect();
+        let text = format!(
+            "zones: [\"hall-a\"]\nkinds: [{{name: \"std\", cores: 16, memory: 32GiB}}]\n\
+             frameworks: [{{name: \"small\", repeat: \"repeatable\", goal: 600ms, limit: 6s}}]\n\
+             planners: {planners}\ncouncil: {{term: 800ms, drift: 80ms, voters: [{}]}}\n",
+            voters.join(", ")
+        );
+        std::fs::write(&file, text).unwrap();
+        Site { file: file.display().to_string(), folder }
+    }
+
+    fn voter(&self, n: usize, state: bool) -> Process {
+        let (name, folder) = (format!("v{n}"), self.folder.display().to_string());
+        let mut args = vec!["voter", &self.file, "--name", &name];
+        if state {
+            args.extend(["--state", &folder]);
+        }
+        let voter = Process::start(&args);
+        voter.next();
+        voter
+    }
+
+    fn planner(&self, register: &str) -> Process {
+        let args = ["serve", &self.file, "--seat", "any", "--zone", "hall-a", "--register", register];
+        Process::start(&[&args[..], &["--listen", "127.0.0.1:0"]].concat())
+    }
+}
+
+/// Stand-in machines, and where their register listens.
+fn machines(file: &str) -> (Process, String) {
+    let machines = Process::start(&["machine", file, "--count", "2"]);
+    loop {
+        if let Some(register) = machines.next()["register"].as_str() {
+            let register = register.to_owned();
+            return (machines, register);
+        }
+    }
+}
+
+/// The next of these processes that is seated: which it is, and what it printed.
+fn seated(all: &[&Process]) -> (usize, Value) {
+    let until = std::time::Instant::now() + PATIENCE;
+    while std::time::Instant::now() < until {
+        for (n, p) in all.iter().enumerate() {
+            match p.lines.recv_timeout(Duration::from_millis(10)) {
+                Ok(line) => return (n, line),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(e) => panic!("process {n} ended: {e}"),
+            }
+        }
+    }
+    panic!("nobody was seated in time");
+}
+
+fn asked(args: &[&str]) -> Value {
+    let out =
+        Command::new(env!("CARGO_BIN_EXE_basaltpitch")).args(args).args(["-o", "json"]).output().unwrap();
+    serde_json::from_slice(&out.stdout).unwrap_or(Value::Null)
+}
+
+fn submitted(at: &Value, key: &str) -> Value {
+    let to = at["listening"].as_str().unwrap();
+    asked(&[
+        "submit",
+        key,
+        "--planner",
+        to,
+        "--framework",
+        "small",
+        "--service",
+        "1",
+        "--cores",
+        "1",
+        "--memory",
+        "2",
+    ])
+}
+
+/// The seat goes from a killed holder, from a stopped one and from one that is told to stop to a spare, each
+/// time under a higher epoch; what the one before placed is found; who was stopped comes back as a spare.
+#[test]
+fn a_seat_goes_on_whatever_becomes_of_its_holder() {
+    let site = Site::new("seat", 1);
+    let (_machines, register) = machines(&site.file);
+    let voters: Vec<Process> = (0..3).map(|n| site.voter(n, n == 0)).collect();
+    let (a, b) = (site.planner(&register), site.planner(&register));
+    let (first, at) = seated(&[&a, &b]);
+    assert_eq!(at["name"], "planner-0");
+    let (holder, spare) = if first == 0 { (a, b) } else { (b, a) };
+    // Its links may still come up: it declines until it knows a machine.
+    let mut tries = 0..200;
+    while submitted(&at, "books")["answer"] != "placed" {
+        assert!(tries.next().is_some(), "never placed");
+    }
+    holder.signal("-KILL");
+    let (_, second) = seated(&[&spare]);
+    assert!(second["epoch"].as_u64() > at["epoch"].as_u64(), "{at} {second}");
+    assert_eq!(second["name"], "planner-0");
+    let to = second["listening"].as_str().unwrap();
+    let mut tries = 0..200;
+    while asked(&["tasks", "books", "--planner", to])[0]["state"] != "placed" {
+        assert!(tries.next().is_some(), "what the one before placed is not found");
+    }
+    // Stopped for longer than its term: another has the seat, and when it wakes it is a spare.
+    let third = site.planner(&register);
+    let (stopped, next) = (spare, third);
+    stopped.signal("-STOP");
+    let (_, third) = seated(&[&next]);
+    assert!(third["epoch"].as_u64() > second["epoch"].as_u64(), "{second} {third}");
+    stopped.signal("-CONT");
+    let record = asked(&["council", &site.file]);
+    let holders: Vec<&Value> =
+        record.as_array().unwrap().iter().filter(|r| r["duty"] == "planner-0").collect();
+    assert!(holders.iter().filter(|r| r["token"] == third["epoch"]).count() >= 2, "{record}");
+    // One voter dies and one starts again without what it kept: the seat is held on.
+    let mut voters = voters;
+    voters.remove(2).signal("-KILL");
+    voters.push(site.voter(2, false));
+    // Told to stop, the holder gives the seat back, and the one that was stopped has it.
+    next.signal("-TERM");
+    let (_, fourth) = seated(&[&stopped]);
+    assert!(fourth["epoch"].as_u64() > third["epoch"].as_u64(), "{third} {fourth}");
+    let mut next = next;
+    assert!(next.child.wait().unwrap().success());
+}
+
+/// Without a majority of voters nobody is seated; a name beside a council, or a seat without one, is refused.
+#[test]
+fn no_majority_no_seat_and_no_name_beside_a_council() {
+    let site = Site::new("none", 1);
+    let _one = site.voter(0, false);
+    let spare = site.planner("127.0.0.1:1");
+    assert!(
+        spare.lines.recv_timeout(Duration::from_millis(2500)).is_err(),
+        "one voter of three is no majority"
+    );
+    let wrong = |args: &[&str]| {
+        let out = Command::new(env!("CARGO_BIN_EXE_basaltpitch")).args(args).output().unwrap();
+        (out.status.code(), String::from_utf8_lossy(&out.stderr).into_owned())
+    };
+    let rest = ["--zone", "hall-a", "--register", "127.0.0.1:1"];
+    let (code, said) = wrong(&[&["serve", &site.file, "--name", "planner-0"][..], &rest].concat());
+    assert!(code == Some(2) && said.contains("beside a council"), "{said}");
+    let (code, said) = wrong(&[&["serve", &site.file, "--seat", "planner-7"][..], &rest].concat());
+    assert!(code == Some(2) && said.contains("planner-0"), "{said}");
+    let campus = Path::new(env!("CARGO_MANIFEST_DIR")).join("../days/campus.rec");
+    let campus = campus.display().to_string();
+    let (code, said) = wrong(&[&["serve", &campus, "--seat", "any"][..], &rest].concat());
+    assert!(code == Some(2) && said.contains("without a council"), "{said}");
+    let (code, said) = wrong(&["voter", &site.file, "--name", "v9"]);
+    assert!(code == Some(2) && said.contains("v0, v1, v2"), "{said}");
+}
--- a/planner/src/lib.rs
+++ b/planner/src/lib.rs
@@ -4,6 +4,7 @@
 //! replayed.
 pub mod bounds;
 pub mod core;
+pub mod council;
 pub mod hands;
 pub mod recording;
 pub mod service;
@@ -11,3 +12,4 @@
 pub mod tenancy;
 pub mod told;
 pub mod view;
+pub mod voter;
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -2,6 +2,7 @@
 //! what machines and the register say is read before what owners ask; while the actor is behind, links grant
 //! their peers nothing more. A peer that does not read is cut off, and may come back and ask again.
 use crate::core::{Core, Out, Who, REGISTER};
+use crate::council::Tenure;
 use crate::tenancy::{Learnt, Task, Ways};
 use basaltpitch::host::Given;
 use basaltpitch_agent::link::{self, Clock, News, Order};
@@ -49,6 +50,8 @@
     pub directory: Option<Directory>,
     /// What outlives this planner.
     pub store: Option<Store>,
+    /// The seat that it serves under, where there is a council.
+    pub tenure: Option<Tenure>,
 }
 
 /// Names of what is remembered of tenants: all of it, and when it was last heard in full.
@@ -161,10 +164,11 @@
     first: mpsc::Sender<(From, News)>,
     sweeps: Option<Sweeps>,
     memories: Option<std::sync::mpsc::SyncSender<(i64, Option<Vec<u8>>)>>,
+    tenure: Option<Tenure>,
 }
 
 async fn actor(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
-    let Start { who, given, record, clauses, directory, store } = start;
+    let Start { who, given, record, clauses, directory, store, tenure } = start;
     let clock = Clock::start();
     let me = Party {
         role: Role::Planner,
@@ -188,7 +192,7 @@
     });
     let memories = store.map(writer);
     let (peers, links) = (HashMap::new(), HashMap::new());
-    let mut a = Actor { core, clock, me, peers, conns: links, first, sweeps, memories };
+    let mut a = Actor { core, clock, me, peers, conns: links, first, sweeps, memories, tenure };
     let mut conns = 0;
     // Out of descriptors, no connection is accepted for a moment; everything else goes on.
     let mut rests_until = 0;
@@ -430,7 +434,9 @@
     }
 
     fn send_machine(&mut self, machine: usize, body: Body, mark: Option<u64>) {
-        if let Some(linked) = self.peers.get(&machine) {
+        // A process that was stopped wakes with launches decided: by then another may have its seat.
+        let unseated = mark.is_some() && self.tenure.as_ref().is_some_and(|t| !t.holds());
+        if let Some(linked) = self.peers.get(&machine).filter(|_| !unseated) {
             match linked.orders.try_send(Order::Send(body, mark)) {
                 Ok(()) => return,
                 Err(TrySendError::Full(_)) => {
--- /dev/null
+++ b/planner/src/voter.rs
@@ -0,0 +1,282 @@
+//! A voter of the council on sockets: one actor owns the votes, queues are bounded. What it votes is on the disk
+//! before it is said, where it has one.
+use crate::council::{awake, dial, Way};
+use basaltpitch_agent::link::{self, Clock, News, Order};
+use basaltpitch_agent::session::{Event, Party};
+use basaltpitch_agent::wire::{self, Body, Role};
+use basaltpitch_council::voter::{Kept, Voter};
+use basaltpitch_council::{Answer, Note, Terms};
+use basaltpitch_store::Store;
+use prost::Message;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+const INBOX: usize = 1024;
+const ORDERS: usize = 1024;
+/// Frames that are answered together: their votes are written to the disk at once.
+const BATCH: usize = 256;
+/// How often a voter that lacks what it kept asks the others.
+const ASKS_EVERY: Duration = Duration::from_millis(200);
+const VOTES: &str = "votes";
+const FORMAT: u32 = 1;
+
+/// What a voter is started with.
+pub struct Start {
+    pub name: String,
+    pub terms: Terms,
+    /// All voters; `me` is its place among them.
+    pub voters: Vec<Way>,
+    pub me: usize,
+    pub store: Option<Store>,
+}
+
+struct Conn {
+    orders: mpsc::Sender<Order>,
+    party: Option<Party>,
+}
+
+struct Actor {
+    voter: Voter<Rc<str>, Rc<str>>,
+    conns: HashMap<u64, Conn>,
+    store: Option<Store>,
+}
+
+/// Who a process is, for votes: its name and the moment of its start. A process that starts again is another.
+pub fn member_name(name: &str, epoch: u64) -> Rc<str> {
+    format!("{name} of {epoch}").into()
+}
+
+/// Votes until `stop` is done.
+pub async fn serve(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
+    tokio::task::LocalSet::new().run_until(actor(listener, start, stop)).await;
+}
+
+/// What was kept, or nothing: then the voter has lost what it kept, or never had any.
+fn begun(start: &Start) -> Voter<Rc<str>, Rc<str>> {
+    let lost = || Voter::lost(start.terms, awake(), start.voters.len());
+    let Some(store) = &start.store else { return lost() };
+    match store.get(VOTES, FORMAT) {
+        Ok(Some(kept)) => match wire::Kept::decode(&kept.bytes[..]) {
+            Ok(kept) => {
+                let duties = kept.duties.into_iter().map(|k| {
+                    let holder = Some(k.holder).filter(|h| !h.is_empty()).map(Rc::from);
+                    let note = Note { token: k.note_token, number: k.note_number, text: k.note };
+                    (Rc::from(k.duty), Kept { token: k.token, holder, until: 0, note })
+                });
+                Voter::restored(start.terms, awake(), duties)
+            }
+            Err(e) => {
+                tracing::error!(error = %e, "what was kept makes no sense; asking the other voters");
+                lost()
+            }
+        },
+        Ok(None) => lost(),
+        Err(e) => {
+            tracing::error!(error = %e, "what was kept cannot be read; asking the other voters");
+            lost()
+        }
+    }
+}
+
+fn kept(voter: &Voter<Rc<str>, Rc<str>>, now: i64) -> wire::Kept {
+    let duty = |(duty, k): (&Rc<str>, &Kept<Rc<str>>)| wire::KeptDuty {
+        duty: duty.to_string(),
+        token: k.token,
+        holder: k.holder.as_deref().unwrap_or_default().to_owned(),
+        left_us: if k.holder.is_some() { (k.until - now).max(0) } else { 0 },
+        note_token: k.note.token,
+        note_number: k.note.number,
+        note: k.note.text.clone(),
+    };
+    wire::Kept {
+        whole: voter.is_whole(),
+        votes_in_us: (voter.votes_from() - now).max(0),
+        duties: voter.kept().map(duty).collect(),
+    }
+}
+
+async fn actor(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
+    let clock = Clock::start();
+    let voter = begun(&start);
+    let epoch = clock.now() as u64;
+    let me = Party { role: Role::Voter, name: start.name.clone(), epoch, link: 0, login: String::new() };
+    let (news, mut inbox) = mpsc::channel(INBOX);
+    let (learnt, mut others) = mpsc::channel(16);
+    let mut a = Actor { voter, conns: HashMap::new(), store: start.store };
+    tracing::info!(whole = a.voter.is_whole(), "the voter begins");
+    if !a.voter.is_whole() {
+        for (n, way) in start.voters.iter().enumerate().filter(|v| v.0 != start.me) {
+            tokio::task::spawn_local(ask_other(n, way.clone(), me.clone(), clock, learnt.clone()));
+        }
+    }
+    let mut conns = 0;
+    tokio::pin!(stop);
+    loop {
+        tokio::select! {
+            biased;
+            () = &mut stop => break,
+            Some((n, kept)) = others.recv() => a.learnt(n, kept),
+            Some((conn, first)) = inbox.recv() => {
+                let mut batch = vec![(conn, first)];
+                while let Some(next) = (batch.len() < BATCH).then(|| inbox.try_recv().ok()).flatten() {
+                    batch.push(next);
+                }
+                a.hear(batch);
+            }
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nodelay(true);
+                    conns += 1;
+                    let conn: u64 = conns;
+                    let (orders, orders_in) = mpsc::channel(ORDERS);
+                    a.conns.insert(conn, Conn { orders, party: None });
+                    let wrap = move |n| (conn, n);
+                    tokio::task::spawn_local(link::run(stream, me.clone(), clock, orders_in, news.clone(), wrap));
+                }
+                Err(e) => {
+                    tracing::warn!(error = %e, "a connection could not be accepted");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            },
+        }
+    }
+}
+
+/// Asks another voter for what it keeps, again and again, until nobody listens.
+async fn ask_other(n: usize, way: Way, me: Party, clock: Clock, learnt: mpsc::Sender<(usize, wire::Kept)>) {
+    let mut links = 0;
+    while !learnt.is_closed() {
+        links += 1;
+        let (orders, news) = dial(way.clone(), Party { link: links, ..me.clone() }, clock);
+        let mut news = news;
+        let mut asks = tokio::time::interval(ASKS_EVERY);
+        loop {
+            tokio::select! {
+                _ = asks.tick() => {
+                    if learnt.is_closed() || orders.try_send(Order::Send(Body::Record(wire::Record {}), None)).is_err() {
+                        break;
+                    }
+                }
+                heard = news.recv() => match heard {
+                    Some(News::Session(Event::Frame(Body::Kept(kept)))) => {
+                        if learnt.send((n, kept)).await.is_err() {
+                            return;
+                        }
+                    }
+                    Some(News::Session(_)) => {}
+                    Some(News::Ended { .. }) | None => break,
+                },
+            }
+        }
+        tokio::time::sleep(ASKS_EVERY).await;
+    }
+}
+
+impl Actor {
+    fn learnt(&mut self, n: usize, kept: wire::Kept) {
+        if self.voter.is_whole() {
+            return;
+        }
+        let note =
+            |k: &wire::KeptDuty| Note { token: k.note_token, number: k.note_number, text: k.note.clone() };
+        let duties = kept.duties.iter().map(|k| (Rc::from(k.duty.as_str()), k.token, note(k)));
+        self.voter.learnt(n, kept.whole, duties);
+        if self.voter.is_whole() {
+            tracing::info!("heard the other voters");
+            // From here on this file is all that it ever kept.
+            self.keep();
+        }
+    }
+
+    /// Whether what is voted is on the disk, where there is one.
+    fn keep(&self) -> bool {
+        let Some(store) = self.store.as_ref().filter(|_| self.voter.is_whole()) else { return true };
+        let now = awake();
+        let done = store.put(VOTES, FORMAT, now, &kept(&self.voter, now).encode_to_vec());
+        if let Err(e) = &done {
+            tracing::error!(error = %e, "votes cannot be kept; none is said");
+        }
+        done.is_ok()
+    }
+
+    fn hear(&mut self, batch: Vec<(u64, News)>) {
+        let (mut replies, mut voted) = (Vec::new(), false);
+        for (conn, news) in batch {
+            match news {
+                News::Session(Event::Up(party)) => {
+                    if let Some(c) = self.conns.get_mut(&conn) {
+                        c.party = Some(party);
+                    }
+                }
+                News::Session(Event::Frame(body)) => voted |= self.frame(conn, body, &mut replies),
+                News::Session(_) => {}
+                News::Ended { .. } => drop(self.conns.remove(&conn)),
+            }
+        }
+        // A vote that is not kept must not be said: after a start it would be out twice.
+        let kept = !voted || self.keep();
+        for (conn, body) in replies {
+            if kept || !matches!(body, Body::Votes(_)) {
+                self.send(conn, body);
+            }
+        }
+    }
+
+    fn send(&mut self, conn: u64, body: Body) {
+        let full = |c: &Conn| c.orders.try_send(Order::Send(body, None)).is_err();
+        if self.conns.get(&conn).is_some_and(full) {
+            self.conns.remove(&conn);
+        }
+    }
+
+    /// One frame; true if it changed what is kept.
+    fn frame(&mut self, conn: u64, body: Body, replies: &mut Vec<(u64, Body)>) -> bool {
+        let now = awake();
+        let Some(party) = self.conns.get(&conn).and_then(|c| c.party.clone()) else { return false };
+        let member = member_name(&party.name, party.epoch);
+        match body {
+            Body::Ballots(all) => {
+                let vote = |b: wire::Ballot| {
+                    let written = (b.note_number > 0).then_some(());
+                    let note = written.map(|()| Note { token: b.token, number: b.note_number, text: b.note });
+                    let duty: Rc<str> = b.duty.as_str().into();
+                    let mut vote = wire::Vote { duty: b.duty, round: b.round, ..wire::Vote::default() };
+                    match self.voter.asked(now, &duty, &member, b.token, note) {
+                        Answer::Granted { note } => {
+                            (vote.granted, vote.note) = (true, note.text);
+                            (vote.note_token, vote.note_number) = (note.token, note.number);
+                        }
+                        Answer::Refused { token, left } => (vote.token, vote.left_us) = (token, left),
+                    }
+                    vote
+                };
+                let votes: Vec<wire::Vote> = all.ballots.into_iter().map(vote).collect();
+                let changed = votes.iter().any(|v| v.granted);
+                replies.push((conn, Body::Votes(wire::Votes { votes })));
+                changed
+            }
+            Body::GiveBack(b) => {
+                let free = self.voter.given_back(&b.duty.as_str().into(), &member, b.token);
+                let told = self.conns.keys().filter(|_| free);
+                let freed = |c: &u64| (*c, Body::Freed(wire::Freed { duty: b.duty.clone() }));
+                replies.extend(told.map(freed));
+                true
+            }
+            Body::Record(_) => {
+                replies.push((conn, Body::Kept(kept(&self.voter, now))));
+                false
+            }
+            _ => {
+                let why = "found a frame that no voter takes; expected ballots, give_back or record";
+                tracing::warn!(peer = party.name, why);
+                if let Some(c) = self.conns.get(&conn) {
+                    let _ = c.orders.try_send(Order::Close(why.into()));
+                }
+                false
+            }
+        }
+    }
+}
--- a/records/src/installation.rs
+++ b/records/src/installation.rs
@@ -69,6 +69,23 @@
         unique(all.list(list), list, &mut faults);
     }
     unique(all.list("tenants"), "tenants", &mut faults);
+    if let Some(council) = all.get("council") {
+        let voters = council.list("voters");
+        unique(voters, "council.voters", &mut faults);
+        if ![1, 3, 5].contains(&voters.len()) {
+            let what = format!("council.voters: found {}; expected 3 or 5, or 1 to try it", voters.len());
+            faults.push(Fault::new(council.at, what));
+        }
+        let time = |field: &str| council.time(field).unwrap_or(0);
+        if 4 * time("drift") > time("term") {
+            let what = format!(
+                "council.drift: found {} us; expected at most a quarter of the term of {} us",
+                time("drift"),
+                time("term")
+            );
+            faults.push(Fault::new(council.get("drift").map_or(council.at, |x| x.at), what));
+        }
+    }
     let travel = all.time("launches.connect").unwrap_or(0);
     let kinds: Vec<&str> = all.list("kinds").iter().filter_map(|k| k.text("name")).collect();
     let known = |list: &str| -> Vec<String> {
--- a/records/tests/records.rs
+++ b/records/tests/records.rs
@@ -42,7 +42,7 @@
 fn types_bounds_and_closed_records() {
     expect![[r#"
         b.rec:1:14: rules.cold: found "soon"; expected 14s or a time such as 600ms at least 0s
-          built-in types:159:16: this is what it was to be unified with
+          built-in types:167:16: this is what it was to be unified with
     "#]]
     .assert_eq(&with("rules: cold: \"soon\""));
     expect![[r#"
