Seats: what a dead voter said is forgotten; a relay that cuts links; hand-overs measured

Cause: with one voter and the holder killed among ten spares, nobody was seated for 30 s. A seat counted as taken if any voter had said so last, and the dead voter's last word, that its vote is out to the dead holder, was kept for ever (council/src/seats.rs, is_taken; planner/src/council.rs, Heard::Down). Found by a test with 13 processes.

Change: a seat is taken while a majority of the voters that are heard say so, and what an unheard voter said is forgotten. standins/src/relay.rs carries bytes between processes and cuts a way both ways or one, delays, resets or refuses it. basaltpitch measure-seats ends holders by SIGKILL, SIGSTOP and SIGTERM, and a voter with them, and fails if an epoch does not rise or a woken holder claims its seat.

A holder that can send and not hear, hear and not send, neither, or reach one voter of three gives way each time; a task asked of a stopped holder is not placed by it when it wakes.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod drill;
 mod machine;
 mod measure;
+mod measure_seats;
 mod node;
 mod serve;
 mod tenants;
@@ -74,6 +75,8 @@
     Tenants(tenants::Tenants),
     /// Measure what one planner carries, beside the bare decisions on the same events
     Measure(measure::Measure),
+    /// Measure how long a seat stands without a planner when its holder ceases
+    MeasureSeats(measure_seats::Measure),
     /// Tell the decisions what a recording holds and compare their calls
     Replay { file: PathBuf },
 }
@@ -118,6 +121,7 @@
         Command::Planner(at) => at.run("planner", json),
         Command::Drain(drain) => drain.run(json),
         Command::Measure(measure) => measure.run(json),
+        Command::MeasureSeats(measure) => measure.run(json),
         Command::Replay { file } => replay(&file, json),
     };
     match done {
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -108,7 +108,7 @@
     }
     let mut a = Actor {
         member: Member::new(terms, voters.len(), seed, me.epoch),
-        seats: Seats::new(seats, seed),
+        seats: Seats::new(seats, voters.len(), seed),
         me: crate::voter::member_name(&me.name, me.epoch),
         voters: vec![None; voters.len()],
         tenure,
@@ -199,7 +199,10 @@
                 let _ = orders.try_send(Order::Send(Body::Record(wire::Record {}), None));
                 self.voters[v] = Some(orders);
             }
-            Heard::Down => self.voters[v] = None,
+            Heard::Down => {
+                self.voters[v] = None;
+                self.seats.unheard(v);
+            }
             Heard::Frame(Body::Votes(all)) => {
                 for vote in all.votes {
                     let note = Note { token: vote.note_token, number: vote.note_number, text: vote.note };
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod machine;
 pub mod owner;
 pub mod register;
+pub mod relay;
 pub mod rough;
