Voters and members that differ on the term do not count on each other's votes

A member whose file has a longer term than a voter's would hold its seat after the vote was given away; a voter that had heard the others went on asking them for ever; its whole actor slept when out of descriptors; looks for a free seat were made up in a burst after a long time seated; duties and notes had no bound.

Change: votes say how long they bind, and a member does not count a shorter one; the asking ends; accepting alone rests; looks are not made up; 4,096 duties, names of 200 bytes, notes of 64 KiB at the most.

--- a/council/src/voter.rs
+++ b/council/src/voter.rs
@@ -2,6 +2,9 @@
 use crate::{Answer, Note, Terms};
 use std::collections::BTreeMap;
 
+/// Duties that a voter keeps at the most; what is asked for beyond them is refused.
+pub const MOST_DUTIES: usize = 4096;
+
 /// What a voter keeps of one duty.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Kept<M> {
@@ -82,6 +85,9 @@
         if now < self.from || self.lacks.is_some() {
             return Answer::Refused { token: 0, left: (self.from - now).max(self.terms.drift) };
         }
+        if self.kept.len() >= MOST_DUTIES && !self.kept.contains_key(duty) {
+            return Answer::Refused { token: 0, left: self.terms.term };
+        }
         let new = || Kept { token: 0, holder: None, until: 0, note: Note::default() };
         let kept = self.kept.entry(duty.clone()).or_insert_with(new);
         let its = kept.holder.as_ref() == Some(member) && kept.token == token;
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -87,6 +87,7 @@
 }
 
 struct Actor {
+    term: i64,
     member: Member<Rc<str>>,
     seats: Seats<Rc<str>>,
     me: Rc<str>,
@@ -107,6 +108,7 @@
         tokio::task::spawn_local(follow(v, way.clone(), me.clone(), clock, heard_out.clone()));
     }
     let mut a = Actor {
+        term: terms.term,
         member: Member::new(terms, voters.len(), seed, me.epoch),
         seats: Seats::new(seats, voters.len(), seed),
         me: crate::voter::member_name(&me.name, me.epoch),
@@ -117,6 +119,8 @@
         seeks: true,
     };
     let mut looks = tokio::time::interval(Duration::from_micros((terms.term / 4).max(10_000) as u64));
+    // Looks that were not needed while a seat was held are not made up.
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         a.member.clock(awake());
         a.carry_out().await;
@@ -203,6 +207,11 @@
                 self.voters[v] = None;
                 self.seats.unheard(v);
             }
+            Heard::Frame(Body::Votes(all)) if all.term_us < self.term => {
+                // Files that differ: it would hold a seat that its voters have given away.
+                let (found, expected) = (all.term_us, self.term);
+                tracing::error!(voter = v, found, expected, "council.term: a voter's vote binds for less");
+            }
             Heard::Frame(Body::Votes(all)) => {
                 for vote in all.votes {
                     let note = Note { token: vote.note_token, number: vote.note_number, text: vote.note };
--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 const INBOX: usize = 1024;
 const ORDERS: usize = 1024;
@@ -20,6 +21,11 @@
 const BATCH: usize = 256;
 /// How often a voter that lacks what it kept asks the others.
 const ASKS_EVERY: Duration = Duration::from_millis(200);
+/// How long no connection is accepted after one could not be.
+const REST: Duration = Duration::from_millis(10);
+/// Bytes of a duty's name and of a note.
+const LONGEST_DUTY: usize = 200;
+const LONGEST_NOTE: usize = 64 << 10;
 const VOTES: &str = "votes";
 const FORMAT: u32 = 1;
 
@@ -39,6 +45,7 @@
 }
 
 struct Actor {
+    term: i64,
     voter: Voter<Rc<str>, Rc<str>>,
     conns: HashMap<u64, Conn>,
     store: Option<Store>,
@@ -105,7 +112,7 @@
     let me = Party { role: Role::Voter, name: start.name.clone(), epoch, link: 0, login: String::new() };
     let (news, mut inbox) = mpsc::channel(INBOX);
     let (learnt, mut others) = mpsc::channel(16);
-    let mut a = Actor { voter, conns: HashMap::new(), store: start.store };
+    let mut a = Actor { term: start.terms.term, voter, conns: HashMap::new(), store: start.store };
     tracing::info!(whole = a.voter.is_whole(), "the voter begins");
     if !a.voter.is_whole() {
         for (n, way) in start.voters.iter().enumerate().filter(|v| v.0 != start.me) {
@@ -113,12 +120,21 @@
         }
     }
     let mut conns = 0;
+    // Out of descriptors, no connection is accepted for a moment; everything else goes on.
+    let mut rests_until = Instant::now();
     tokio::pin!(stop);
     loop {
+        let rests = Instant::now() < rests_until;
         tokio::select! {
             biased;
             () = &mut stop => break,
-            Some((n, kept)) = others.recv() => a.learnt(n, kept),
+            Some((n, kept)) = others.recv() => {
+                a.learnt(n, kept);
+                if a.voter.is_whole() {
+                    // Nobody need be asked any more.
+                    others.close();
+                }
+            }
             Some((conn, first)) = inbox.recv() => {
                 let mut batch = vec![(conn, first)];
                 while let Some(next) = (batch.len() < BATCH).then(|| inbox.try_recv().ok()).flatten() {
@@ -126,7 +142,8 @@
                 }
                 a.hear(batch);
             }
-            accepted = listener.accept() => match accepted {
+            () = tokio::time::sleep_until(rests_until), if rests => {}
+            accepted = listener.accept(), if !rests => match accepted {
                 Ok((stream, _)) => {
                     let _ = stream.set_nodelay(true);
                     conns += 1;
@@ -138,7 +155,7 @@
                 }
                 Err(e) => {
                     tracing::warn!(error = %e, "a connection could not be accepted");
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    rests_until = Instant::now() + REST;
                 }
             },
         }
@@ -237,8 +254,9 @@
         let now = awake();
         let Some(party) = self.conns.get(&conn).and_then(|c| c.party.clone()) else { return false };
         let member = member_name(&party.name, party.epoch);
+        let long = |b: &wire::Ballot| b.duty.len() > LONGEST_DUTY || b.note.len() > LONGEST_NOTE;
         match body {
-            Body::Ballots(all) => {
+            Body::Ballots(all) if !all.ballots.iter().any(long) => {
                 let vote = |b: wire::Ballot| {
                     let written = (b.note_number > 0).then_some(());
                     let note = written.map(|()| Note { token: b.token, number: b.note_number, text: b.note });
@@ -255,7 +273,7 @@
                 };
                 let votes: Vec<wire::Vote> = all.ballots.into_iter().map(vote).collect();
                 let changed = votes.iter().any(|v| v.granted);
-                replies.push((conn, Body::Votes(wire::Votes { votes })));
+                replies.push((conn, Body::Votes(wire::Votes { votes, term_us: self.term })));
                 changed
             }
             Body::GiveBack(b) => {
@@ -270,7 +288,8 @@
                 false
             }
             _ => {
-                let why = "found a frame that no voter takes; expected ballots, give_back or record";
+                let why = "found a frame that no voter takes; expected ballots (a duty of up to 200 bytes, a note of up to \
+                     64 KiB), give_back or record";
                 tracing::warn!(peer = party.name, why);
                 if let Some(c) = self.conns.get(&conn) {
                     let _ = c.orders.try_send(Order::Close(why.into()));
