--- a/cli/tests/council.rs
+++ b/cli/tests/council.rs
@@ -276,6 +276,11 @@
     let campus = campus.display().to_string();
     let (code, said) = wrong(&[&["serve", &campus, "--seat", "any"][..], &rest].concat());
     assert!(code == Some(2) && said.contains("without a council"), "{said}");
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listen = taken.local_addr().unwrap().to_string();
+    let seat = ["serve", &site.file, "--seat", "any", "--listen", &listen];
+    let (code, said) = wrong(&[&seat[..], &rest].concat());
+    assert!(code == Some(2) && said.contains("--listen"), "{said}");
     let (code, said) = wrong(&["voter", &site.file, "--name", "v9"]);
     assert!(code == Some(2) && said.contains("v0, v1, v2"), "{said}");
 }
