Council: a second start during a wait waits again; a hundred spares don't split the votes

Traced: a voter lost everything, heard the others, started again with what it kept since, and voted at once, 0.75 s after a vote of its life before that still bound. At fault: what is kept counted from when it was learnt, not from when it votes (Voter::restored, keep in planner/src/voter.rs). All spares hear of a free seat in one moment and asked in it; each loser held its vote for the whole patience where a voter was away, and each give-back called all of them again.

Change: state is kept, and restored, only from when a voter votes. Members spread their first asking; a voter without a link counts as refusing; refusals by a vote not yet renewed say to ask again soon; only a holder's give-back is told.

--- a/council/src/lib.rs
+++ b/council/src/lib.rs
@@ -22,6 +22,11 @@
 }
 
 impl Terms {
+    /// A round of asking is over after this time, whoever has not answered.
+    pub fn patience(&self) -> i64 {
+        (self.term / 6).max(1)
+    }
+
     /// A holder may act for so long after it asked.
     pub fn holds(&self) -> i64 {
         self.term - self.drift
@@ -47,7 +52,7 @@
 pub enum Answer {
     /// The vote is out to the asker for a term from now, with the note that stood there before.
     Granted { note: Note },
-    /// It is not. `token`: the highest that it voted for; `left`: microseconds until the vote is free, 0 where
-    /// it is.
+    /// It is not. `token`: the highest that it voted for; `left`: microseconds until it is worth to ask again,
+    /// 0 where the vote is free.
     Refused { token: u64, left: i64 },
 }
--- a/council/src/member.rs
+++ b/council/src/member.rs
@@ -2,8 +2,6 @@
 use crate::{Answer, Note, Terms};
 use std::collections::{BTreeMap, VecDeque};
 
-/// A round of asking is over after this part of a term, whoever has not answered.
-const PATIENCE: i64 = 6;
 /// A holder asks for more time after this part of what it may act for.
 const RENEWS: i64 = 3;
 /// Askers spread over this part of a term, so that the votes don't split among many.
@@ -83,25 +81,23 @@
         let wanted = self.duties.values().filter(|d| d.wanted);
         let due = |d: &Duty| match (d.holds, d.open) {
             (true, _) => d.until.min(d.next_at),
-            (false, true) => d.sent_at + self.patience(),
+            (false, true) => d.sent_at + self.terms.patience(),
             (false, false) => d.next_at,
         };
         wanted.map(due).min()
     }
 
-    fn patience(&self) -> i64 {
-        (self.terms.term / PATIENCE).max(1)
-    }
-
     fn jitter(&self, most: i64, tries: u32) -> i64 {
         fastrand::Rng::with_seed(self.seed.wrapping_add(u64::from(tries) << 32)).i64(0..=most.max(0))
     }
 
     /// The duty is wanted from now on.
     pub fn want(&mut self, now: i64, duty: D) {
+        // A hundred spares learn in one moment that a seat is free: they must not ask in one moment.
+        let late = self.jitter(self.terms.term / SPREAD, 1 << 17);
         let d = self.duties.entry(duty).or_default();
         if !std::mem::replace(&mut d.wanted, true) {
-            d.next_at = now;
+            d.next_at = now + late;
         }
     }
 
@@ -148,7 +144,7 @@
     /// A voter says that its vote became free.
     pub fn freed(&mut self, now: i64, duty: &D) {
         let Some(d) = self.duties.get(duty).filter(|d| d.wanted && !d.holds && !d.open) else { return };
-        let at = now + self.jitter(self.patience(), d.tries.wrapping_add(1 << 16));
+        let at = now + self.jitter(self.terms.patience(), d.tries.wrapping_add(1 << 16));
         if let Some(d) = self.duties.get_mut(duty) {
             d.next_at = d.next_at.min(at);
         }
@@ -162,7 +158,7 @@
             if d.holds && now >= d.until {
                 self.lose(&duty, &mut d, now);
             }
-            if d.open && !d.holds && now >= d.sent_at + self.patience() {
+            if d.open && !d.holds && now >= d.sent_at + self.terms.patience() {
                 self.fail(&duty, &mut d, now);
             }
             if now >= d.next_at && (d.holds || !d.open) {
--- a/council/src/voter.rs
+++ b/council/src/voter.rs
@@ -13,6 +13,8 @@
     /// To whom the vote went out, and until when it binds; `None`: given back.
     pub holder: Option<M>,
     pub until: i64,
+    /// The member asked for more time under its token: it is a holder, not one of many that try.
+    pub renewed: bool,
     pub note: Note,
 }
 
@@ -48,7 +50,8 @@
         Voter { terms, from: now + terms.wait(), lacks, kept: BTreeMap::new() }
     }
 
-    /// A voter with what it kept. How long it was away is not known: what is out binds for a whole term more.
+    /// A voter with what it kept, by a life that `votes`: a start soon after another that had lost everything
+    /// would else vote while what was voted before that still binds. How long it was away is not known: what is out binds for a whole term more.
     pub fn restored(terms: Terms, now: i64, kept: impl IntoIterator<Item = (D, Kept<M>)>) -> Self {
         let mut voter = Voter { kept: kept.into_iter().collect(), ..Voter::new(terms, now) };
         voter.kept.values_mut().for_each(|k| k.until = now + terms.wait());
@@ -64,7 +67,7 @@
         let wholes = lacks.told.values().filter(|w| **w).count();
         let enough = wholes > lacks.voters - (lacks.voters / 2 + 1) || lacks.told.len() + 1 >= lacks.voters;
         for (duty, token, note) in kept {
-            let new = || Kept { token: 0, holder: None, until: 0, note: Note::default() };
+            let new = || Kept { token: 0, holder: None, until: 0, renewed: false, note: Note::default() };
             let k = self.kept.entry(duty).or_insert_with(new);
             k.token = k.token.max(token);
             k.note = note.max(std::mem::take(&mut k.note));
@@ -74,6 +77,11 @@
         }
     }
 
+    /// Whether it votes: only from then on what it keeps is enough for a next life.
+    pub fn votes(&self, now: i64) -> bool {
+        now >= self.from && self.lacks.is_none()
+    }
+
     /// Whether it has all that it ever kept, or learnt it again.
     pub fn is_whole(&self) -> bool {
         self.lacks.is_none()
@@ -82,23 +90,26 @@
     /// A member asks for a duty under a token of its choice, or for a term more under the one that it has.
     /// With the vote goes its note, if it brings one.
     pub fn asked(&mut self, now: i64, duty: &D, member: &M, token: u64, note: Option<Note>) -> Answer {
-        if now < self.from || self.lacks.is_some() {
+        if !self.votes(now) {
             return Answer::Refused { token: 0, left: (self.from - now).max(self.terms.drift) };
         }
         if self.kept.len() >= MOST_DUTIES && !self.kept.contains_key(duty) {
             return Answer::Refused { token: 0, left: self.terms.term };
         }
-        let new = || Kept { token: 0, holder: None, until: 0, note: Note::default() };
+        let new = || Kept { token: 0, holder: None, until: 0, renewed: false, note: Note::default() };
         let kept = self.kept.entry(duty.clone()).or_insert_with(new);
         let its = kept.holder.as_ref() == Some(member) && kept.token == token;
         if !its {
             if kept.holder.is_some() && now < kept.until {
-                return Answer::Refused { token: kept.token, left: kept.until - now };
+                // One of many askers mostly gives its vote back at once: the others need not wait out a term.
+                let most = if kept.renewed { self.terms.term } else { self.terms.patience() };
+                return Answer::Refused { token: kept.token, left: (kept.until - now).min(most) };
             }
             if token <= kept.token {
                 return Answer::Refused { token: kept.token, left: 0 };
             }
         }
+        kept.renewed = its;
         (kept.token, kept.holder, kept.until) = (token, Some(member.clone()), now + self.terms.term);
         let before = kept.note.clone();
         if let Some(note) = note.filter(|n| n.token == token && *n > kept.note) {
@@ -107,17 +118,18 @@
         Answer::Granted { note: before }
     }
 
-    /// A member gives a vote back: it does not hold the duty, or does not act on it any more. True where the
-    /// vote is free by this. An asking under that token that comes late finds nothing.
+    /// A member gives a vote back: it does not hold the duty, or does not act on it any more. True where a
+    /// holder's vote is free by this, which others will want to know. An asking under that token that comes late finds nothing.
     pub fn given_back(&mut self, duty: &D, member: &M, token: u64) -> bool {
         let Some(kept) = self.kept.get_mut(duty) else { return false };
         let its = kept.holder.as_ref() == Some(member) && kept.token == token;
         if its {
             kept.holder = None;
+            return kept.renewed;
         } else if kept.holder.is_none() {
             kept.token = kept.token.max(token);
         }
-        its
+        false
     }
 
     /// Everything that it keeps, for a store and for operators.
--- a/council/tests/drawn.rs
+++ b/council/tests/drawn.rs
@@ -195,7 +195,7 @@
                 let lose = self.chance.bool() && self.voters.iter().all(Voter::is_whole);
                 if lose {
                     self.voters[v] = Voter::lost(TERMS, now, self.voters.len());
-                } else if self.voters[v].is_whole() {
+                } else if self.voters[v].votes(now) {
                     self.voters[v] = Voter::restored(TERMS, now, kept);
                 }
             }
--- a/council/tests/every_state.rs
+++ b/council/tests/every_state.rs
@@ -32,6 +32,7 @@
     Drift,
     Wait,
     Learning,
+    Votes,
     Fence,
 }
 
@@ -46,8 +47,8 @@
     late: u32,
     /// One clock of all falls behind by a tick, at any time.
     clocks: bool,
-    /// The first voter starts again once, at any time.
-    restarts: bool,
+    /// The first voter starts again so often, at any time.
+    restarts: u32,
     /// What is late comes any number of times.
     doubled: bool,
     /// Members act, at any time after they looked whether they may.
@@ -60,7 +61,7 @@
     rounds: [2, 2],
     late: 1,
     clocks: false,
-    restarts: false,
+    restarts: 0,
     doubled: false,
     acts: false,
 };
@@ -80,7 +81,7 @@
     flying: VecDeque<Frame>,
     late: u32,
     asked: [u64; MEMBERS],
-    restarted: bool,
+    restarted: u32,
     /// The highest token that was won, and that acted; what is wrong, if anything.
     won: u64,
     acted: u64,
@@ -100,7 +101,7 @@
             flying: VecDeque::new(),
             late: 0,
             asked: [0; MEMBERS],
-            restarted: false,
+            restarted: 0,
             won: 0,
             acted: 0,
             wrong: None,
@@ -224,15 +225,18 @@
             w.settle(&mut all);
         }
         let first = &self.voters[0];
-        if self.bounds.restarts && !self.restarted {
+        if self.restarted < self.bounds.restarts {
             let kept = first.kept().map(|(d, k)| (*d, k.clone()));
             let lost = match self.without {
                 Without::Wait => Voter::lost(Terms { term: 0, drift: 0 }, self.clock(0), VOTERS),
                 Without::Learning => Voter::lost(self.terms(), self.clock(0), 1),
                 _ => Voter::lost(self.terms(), self.clock(0), VOTERS),
             };
-            for voter in [Voter::restored(self.terms(), self.clock(0), kept), lost] {
-                let mut w = World { restarted: true, ..self.clone() };
+            // What a life keeps counts from when it votes.
+            let votes = first.votes(self.clock(0)) || self.without == Without::Votes;
+            let restored = votes.then(|| Voter::restored(self.terms(), self.clock(0), kept));
+            for voter in restored.into_iter().chain([lost]) {
+                let mut w = World { restarted: self.restarted + 1, ..self.clone() };
                 w.voters[0] = Rc::new(voter);
                 all.push(w);
             }
@@ -270,14 +274,15 @@
 const DOUBLED: Bounds = Bounds { rounds: [1, 1], late: 2, doubled: true, ..PLAIN };
 const CLOCKS: Bounds = Bounds { clocks: true, ..PLAIN };
 const RENEWS: Bounds = Bounds { rounds: [3, 2], ..PLAIN };
-const RESTARTS: Bounds = Bounds { restarts: true, ticks: 6, late: 0, ..PLAIN };
+const RESTARTS: Bounds = Bounds { restarts: 1, ticks: 6, late: 0, ..PLAIN };
 const BOTH: Bounds = Bounds { rounds: [1, 2], clocks: true, ..RESTARTS };
 const LOST: Bounds = Bounds { rounds: [1, 1], late: 1, ..RESTARTS };
+const TWICE: Bounds = Bounds { restarts: 2, rounds: [1, 2], ticks: 4, ..RESTARTS };
 const ACTS: Bounds = Bounds { rounds: [1, 2], acts: true, ..PLAIN };
 
 #[test]
 fn no_two_members_hold_a_duty_in_any_state() {
-    for bounds in [LATE, DOUBLED, CLOCKS, RENEWS, RESTARTS, BOTH, LOST, ACTS] {
+    for bounds in [LATE, DOUBLED, CLOCKS, RENEWS, RESTARTS, BOTH, LOST, TWICE, ACTS] {
         let states = explore(Without::Nothing, bounds);
         assert!(states.is_ok(), "{states:?} within {bounds:?}");
     }
@@ -288,5 +293,6 @@
     assert_eq!(explore(Without::Drift, CLOCKS), Err("two members hold the duty"));
     assert_eq!(explore(Without::Wait, Bounds { rounds: [1, 2], ..LOST }), Err("two members hold the duty"));
     assert_eq!(explore(Without::Learning, LOST), Err("a token is not above the one before"));
+    assert_eq!(explore(Without::Votes, Bounds { late: 1, ..TWICE }), Err("two members hold the duty"));
     assert_eq!(explore(Without::Fence, ACTS), Err("an older holder acted after a newer one"));
 }
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -261,6 +261,11 @@
                     let (note_number, note) = note.map_or((0, Vec::new()), |n| (n.number, n.text));
                     let ballot = wire::Ballot { duty: duty.to_string(), token, round, note_number, note };
                     self.all_voters(|| Body::Ballots(wire::Ballots { ballots: vec![ballot.clone()] }));
+                    // A voter that cannot be asked is not waited for: votes of the others are given back sooner.
+                    for v in (0..self.voters.len()).filter(|&v| self.voters[v].is_none()) {
+                        let refused = Answer::Refused { token: 0, left: 0 };
+                        self.member.answered(awake(), v, &duty, round, refused);
+                    }
                 }
                 Call::GiveBack { duty, token } => {
                     let back = wire::GiveBack { duty: duty.to_string(), token };
--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -71,7 +71,7 @@
                 let duties = kept.duties.into_iter().map(|k| {
                     let holder = Some(k.holder).filter(|h| !h.is_empty()).map(Rc::from);
                     let note = Note { token: k.note_token, number: k.note_number, text: k.note };
-                    (Rc::from(k.duty), Kept { token: k.token, holder, until: 0, note })
+                    (Rc::from(k.duty), Kept { token: k.token, holder, until: 0, renewed: true, note })
                 });
                 Voter::restored(start.terms, awake(), duties)
             }
@@ -203,15 +203,14 @@
         self.voter.learnt(n, kept.whole, duties);
         if self.voter.is_whole() {
             tracing::info!("heard the other voters");
-            // From here on this file is all that it ever kept.
-            self.keep();
         }
     }
 
     /// Whether what is voted is on the disk, where there is one.
     fn keep(&self) -> bool {
-        let Some(store) = self.store.as_ref().filter(|_| self.voter.is_whole()) else { return true };
         let now = awake();
+        // Kept while it still waits, it would let the next start vote before the wait is over.
+        let Some(store) = self.store.as_ref().filter(|_| self.voter.votes(now)) else { return true };
         let done = store.put(VOTES, FORMAT, now, &kept(&self.voter, now).encode_to_vec());
         if let Err(e) = &done {
             tracing::error!(error = %e, "votes cannot be kept; none is said");
