--- a/cli/src/measure_seats.rs
+++ b/cli/src/measure_seats.rs
@@ -1,5 +1,5 @@
-//! `basaltpitch measure-seats`: how long a seat stands without a planner when its holder is killed, stopped, or
-//! told to stop, with voters and planners as processes of this binary on loopback. Fails if a seat's epoch
+//! `basaltpitch measure-seats`: how long a seat stands without a planner when its holder is killed, stopped,
+//! or told to stop, with voters and planners as processes of this binary on loopback. Fails if a seat's epoch
 //! does not rise.
 use crate::Failure;
 use hdrhistogram::Histogram;
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -76,10 +76,10 @@
         let runtime = runtime.map_err(|e| Failure::Failed(e.to_string()))?;
         let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let started = since.map_or(1, |d| d.as_micros() as u64);
-        // A spare must not find only once it is seated that it cannot serve.
-        crate::clauses_of(&installation)?;
-        crate::directory_of(&installation)?;
         if self.seat.is_some() {
+            // A spare must not find only once it is seated that it cannot serve.
+            crate::clauses_of(&installation)?;
+            crate::directory_of(&installation)?;
             let tried = std::net::TcpListener::bind(&self.listen);
             tried.map_err(|e| Failure::Wrong(format!("--listen {}: {e}", self.listen)))?;
         }
--- a/council/src/lib.rs
+++ b/council/src/lib.rs
@@ -52,7 +52,7 @@
 pub enum Answer {
     /// The vote is out to the asker for a term from now, with the note that stood there before.
     Granted { note: Note },
-    /// It is not. `token`: the highest that it voted for; `left`: microseconds until it is worth to ask again,
-    /// 0 where the vote is free.
+    /// It is not. `token`: the highest that it voted for; `left`: microseconds until it is worth to ask
+    /// again, 0 where the vote is free.
     Refused { token: u64, left: i64 },
 }
--- a/council/src/seats.rs
+++ b/council/src/seats.rs
@@ -1,5 +1,5 @@
-//! Which seat a spare asks for: one for which no majority of votes is out, by chance, so that many spares spread
-//! over many seats.
+//! Which seat a spare asks for: one for which no majority of votes is out, by chance, so that many spares
+//! spread over many seats.
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What one process wants of the seats. `D` names duties.
--- a/council/src/voter.rs
+++ b/council/src/voter.rs
@@ -18,6 +18,13 @@
     pub note: Note,
 }
 
+/// Nothing was voted for.
+impl<M> Default for Kept<M> {
+    fn default() -> Self {
+        Kept { token: 0, holder: None, until: 0, renewed: false, note: Note::default() }
+    }
+}
+
 /// `D` names duties; `M` names members, each process of its own.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Voter<D, M> {
@@ -51,7 +58,8 @@
     }
 
     /// A voter with what it kept, by a life that `votes`: a start soon after another that had lost everything
-    /// would else vote while what was voted before that still binds. How long it was away is not known: what is out binds for a whole term more.
+    /// would else vote while what was voted before that still binds. How long it was away is not known: what
+    /// is out binds for a whole term more.
     pub fn restored(terms: Terms, now: i64, kept: impl IntoIterator<Item = (D, Kept<M>)>) -> Self {
         let mut voter = Voter { kept: kept.into_iter().collect(), ..Voter::new(terms, now) };
         voter.kept.values_mut().for_each(|k| k.until = now + terms.wait());
@@ -59,16 +67,15 @@
     }
 
     /// Another voter told what it keeps of tokens and notes, and whether that is all that it ever kept.
-    /// Enough have told once every majority that this voter was part of has another member among them; or once
-    /// all others have, as there is nobody more to ask.
+    /// Enough have told once every majority that this voter was part of has another member among them; or
+    /// once all others have, as there is nobody more to ask.
     pub fn learnt(&mut self, from: usize, whole: bool, kept: impl IntoIterator<Item = (D, u64, Note)>) {
         let Some(lacks) = &mut self.lacks else { return };
         lacks.told.insert(from, whole);
         let wholes = lacks.told.values().filter(|w| **w).count();
         let enough = wholes > lacks.voters - (lacks.voters / 2 + 1) || lacks.told.len() + 1 >= lacks.voters;
         for (duty, token, note) in kept {
-            let new = || Kept { token: 0, holder: None, until: 0, renewed: false, note: Note::default() };
-            let k = self.kept.entry(duty).or_insert_with(new);
+            let k = self.kept.entry(duty).or_default();
             k.token = k.token.max(token);
             k.note = note.max(std::mem::take(&mut k.note));
         }
@@ -96,8 +103,7 @@
         if self.kept.len() >= MOST_DUTIES && !self.kept.contains_key(duty) {
             return Answer::Refused { token: 0, left: self.terms.term };
         }
-        let new = || Kept { token: 0, holder: None, until: 0, renewed: false, note: Note::default() };
-        let kept = self.kept.entry(duty.clone()).or_insert_with(new);
+        let kept = self.kept.entry(duty.clone()).or_default();
         let its = kept.holder.as_ref() == Some(member) && kept.token == token;
         if !its {
             if kept.holder.is_some() && now < kept.until {
@@ -119,7 +125,8 @@
     }
 
     /// A member gives a vote back: it does not hold the duty, or does not act on it any more. True where a
-    /// holder's vote is free by this, which others will want to know. An asking under that token that comes late finds nothing.
+    /// holder's vote is free by this, which others will want to know. An asking under that token that comes
+    /// late finds nothing.
     pub fn given_back(&mut self, duty: &D, member: &M, token: u64) -> bool {
         let Some(kept) = self.kept.get_mut(duty) else { return false };
         let its = kept.holder.as_ref() == Some(member) && kept.token == token;
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -69,7 +69,7 @@
 }
 
 /// Runs one link: orders in, news out; `Ended` is the last of them.
-pub(crate) fn dial(way: Way, me: Party, clock: Clock) -> (mpsc::Sender<Order>, mpsc::Receiver<News>) {
+fn dial(way: Way, me: Party, clock: Clock) -> (mpsc::Sender<Order>, mpsc::Receiver<News>) {
     let (orders, orders_in) = mpsc::channel(ORDERS);
     let (news_out, news) = mpsc::channel(INBOX);
     tokio::task::spawn_local(async move {
@@ -147,14 +147,14 @@
 }
 
 /// What is heard of one voter's link: a way to order it, a frame, or its end.
-enum Heard {
+pub(crate) enum Heard {
     Up(mpsc::Sender<Order>),
     Frame(Body),
     Down,
 }
 
-/// Keeps a link to one voter.
-async fn follow(v: usize, way: Way, me: Party, clock: Clock, heard: mpsc::Sender<(usize, Heard)>) {
+/// Keeps a link to one voter, whose place among all is `v`.
+pub(crate) async fn follow(v: usize, way: Way, me: Party, clock: Clock, heard: mpsc::Sender<(usize, Heard)>) {
     let mut links = 0;
     loop {
         links += 1;
@@ -261,7 +261,8 @@
                     let (note_number, note) = note.map_or((0, Vec::new()), |n| (n.number, n.text));
                     let ballot = wire::Ballot { duty: duty.to_string(), token, round, note_number, note };
                     self.all_voters(|| Body::Ballots(wire::Ballots { ballots: vec![ballot.clone()] }));
-                    // A voter that cannot be asked is not waited for: votes of the others are given back sooner.
+                    // A voter that cannot be asked is not waited for: votes of the others are given back
+                    // sooner.
                     for v in (0..self.voters.len()).filter(|&v| self.voters[v].is_none()) {
                         let refused = Answer::Refused { token: 0, left: 0 };
                         self.member.answered(awake(), v, &duty, round, refused);
@@ -278,7 +279,6 @@
                 }
                 Call::Lost { duty, token } => {
                     tracing::warn!(seat = &*duty, token, "the seat is lost");
-                    self.tenure.0.set(0);
                     // It comes back as a spare once what acted under the seat has stopped.
                     (self.seated, self.seeks) = (None, false);
                     self.member.leave(&duty);
--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -1,6 +1,6 @@
-//! A voter of the council on sockets: one actor owns the votes, queues are bounded. What it votes is on the disk
-//! before it is said, where it has one.
-use crate::council::{awake, dial, Way};
+//! A voter of the council on sockets: one actor owns the votes, queues are bounded. What it votes is on the
+//! disk before it is said, where it has one.
+use crate::council::{awake, follow, Heard, Way};
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Party};
 use basaltpitch_agent::wire::{self, Body, Role};
@@ -48,6 +48,8 @@
     term: i64,
     voter: Voter<Rc<str>, Rc<str>>,
     conns: HashMap<u64, Conn>,
+    /// The other voters that are linked, by their place among all.
+    others: HashMap<usize, mpsc::Sender<Order>>,
     store: Option<Store>,
 }
 
@@ -111,14 +113,18 @@
     let epoch = clock.now() as u64;
     let me = Party { role: Role::Voter, name: start.name.clone(), epoch, link: 0, login: String::new() };
     let (news, mut inbox) = mpsc::channel(INBOX);
-    let (learnt, mut others) = mpsc::channel(16);
-    let mut a = Actor { term: start.terms.term, voter, conns: HashMap::new(), store: start.store };
+    let (heard, mut voters) = mpsc::channel(INBOX);
+    let (conns, others) = (HashMap::new(), HashMap::new());
+    let mut a = Actor { term: start.terms.term, voter, conns, others, store: start.store };
     tracing::info!(whole = a.voter.is_whole(), "the voter begins");
+    // Links to the other voters, while there is something to learn from them.
+    let mut links = tokio::task::JoinSet::new();
     if !a.voter.is_whole() {
         for (n, way) in start.voters.iter().enumerate().filter(|v| v.0 != start.me) {
-            tokio::task::spawn_local(ask_other(n, way.clone(), me.clone(), clock, learnt.clone()));
+            links.spawn_local(follow(n, way.clone(), me.clone(), clock, heard.clone()));
         }
     }
+    let mut asks = tokio::time::interval(ASKS_EVERY);
     let mut conns = 0;
     // Out of descriptors, no connection is accepted for a moment; everything else goes on.
     let mut rests_until = Instant::now();
@@ -128,13 +134,18 @@
         tokio::select! {
             biased;
             () = &mut stop => break,
-            Some((n, kept)) = others.recv() => {
-                a.learnt(n, kept);
+            Some((n, heard)) = voters.recv(), if !links.is_empty() => {
+                a.hear_voter(n, heard);
                 if a.voter.is_whole() {
-                    // Nobody need be asked any more.
-                    others.close();
+                    tracing::info!("heard the other voters");
+                    links = tokio::task::JoinSet::new();
+                    a.others.clear();
                 }
             }
+            _ = asks.tick(), if !links.is_empty() => {
+                let ask = || Order::Send(Body::Record(wire::Record {}), None);
+                a.others.values().for_each(|orders| drop(orders.try_send(ask())));
+            }
             Some((conn, first)) = inbox.recv() => {
                 let mut batch = vec![(conn, first)];
                 while let Some(next) = (batch.len() < BATCH).then(|| inbox.try_recv().ok()).flatten() {
@@ -150,8 +161,8 @@
                     let conn: u64 = conns;
                     let (orders, orders_in) = mpsc::channel(ORDERS);
                     a.conns.insert(conn, Conn { orders, party: None });
-                    let wrap = move |n| (conn, n);
-                    tokio::task::spawn_local(link::run(stream, me.clone(), clock, orders_in, news.clone(), wrap));
+                    let (me, news, wrap) = (me.clone(), news.clone(), move |n| (conn, n));
+                    tokio::task::spawn_local(link::run(stream, me, clock, orders_in, news, wrap));
                 }
                 Err(e) => {
                     tracing::warn!(error = %e, "a connection could not be accepted");
@@ -162,47 +173,19 @@
     }
 }
 
-/// Asks another voter for what it keeps, again and again, until nobody listens.
-async fn ask_other(n: usize, way: Way, me: Party, clock: Clock, learnt: mpsc::Sender<(usize, wire::Kept)>) {
-    let mut links = 0;
-    while !learnt.is_closed() {
-        links += 1;
-        let (orders, news) = dial(way.clone(), Party { link: links, ..me.clone() }, clock);
-        let mut news = news;
-        let mut asks = tokio::time::interval(ASKS_EVERY);
-        loop {
-            tokio::select! {
-                _ = asks.tick() => {
-                    if learnt.is_closed() || orders.try_send(Order::Send(Body::Record(wire::Record {}), None)).is_err() {
-                        break;
-                    }
-                }
-                heard = news.recv() => match heard {
-                    Some(News::Session(Event::Frame(Body::Kept(kept)))) => {
-                        if learnt.send((n, kept)).await.is_err() {
-                            return;
-                        }
-                    }
-                    Some(News::Session(_)) => {}
-                    Some(News::Ended { .. }) | None => break,
-                },
-            }
-        }
-        tokio::time::sleep(ASKS_EVERY).await;
-    }
-}
-
 impl Actor {
-    fn learnt(&mut self, n: usize, kept: wire::Kept) {
-        if self.voter.is_whole() {
-            return;
-        }
-        let note =
-            |k: &wire::KeptDuty| Note { token: k.note_token, number: k.note_number, text: k.note.clone() };
-        let duties = kept.duties.iter().map(|k| (Rc::from(k.duty.as_str()), k.token, note(k)));
-        self.voter.learnt(n, kept.whole, duties);
-        if self.voter.is_whole() {
-            tracing::info!("heard the other voters");
+    fn hear_voter(&mut self, n: usize, heard: Heard) {
+        match heard {
+            Heard::Up(orders) => drop(self.others.insert(n, orders)),
+            Heard::Down => drop(self.others.remove(&n)),
+            Heard::Frame(Body::Kept(kept)) => {
+                let duty = |k: wire::KeptDuty| {
+                    let note = Note { token: k.note_token, number: k.note_number, text: k.note };
+                    (Rc::from(k.duty), k.token, note)
+                };
+                self.voter.learnt(n, kept.whole, kept.duties.into_iter().map(duty));
+            }
+            Heard::Frame(_) => {}
         }
     }
 
@@ -257,11 +240,11 @@
         match body {
             Body::Ballots(all) if !all.ballots.iter().any(long) => {
                 let vote = |b: wire::Ballot| {
-                    let written = (b.note_number > 0).then_some(());
-                    let note = written.map(|()| Note { token: b.token, number: b.note_number, text: b.note });
+                    let (token, number) = (b.token, b.note_number);
+                    let note = (number > 0).then_some(Note { token, number, text: b.note });
                     let duty: Rc<str> = b.duty.as_str().into();
                     let mut vote = wire::Vote { duty: b.duty, round: b.round, ..wire::Vote::default() };
-                    match self.voter.asked(now, &duty, &member, b.token, note) {
+                    match self.voter.asked(now, &duty, &member, token, note) {
                         Answer::Granted { note } => {
                             (vote.granted, vote.note) = (true, note.text);
                             (vote.note_token, vote.note_number) = (note.token, note.number);
@@ -287,8 +270,8 @@
                 false
             }
             _ => {
-                let why = "found a frame that no voter takes; expected ballots (a duty of up to 200 bytes, a note of up to \
-                     64 KiB), give_back or record";
+                let why = "found a frame that no voter takes; expected ballots (a duty of up to 200 bytes, \
+                           a note of up to 64 KiB), give_back or record";
                 tracing::warn!(peer = party.name, why);
                 if let Some(c) = self.conns.get(&conn) {
                     let _ = c.orders.try_send(Order::Close(why.into()));
