A voter tells planners alone of a free vote, and writes only a holder's give-back

Change: planner/src/voter.rs tells planners only, and writes a give-back only where a holder's vote is free by it. After a voter's start a loser's vote that was forgotten so binds a term at most, as any restored vote does.

--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -260,10 +260,13 @@
             }
             Body::GiveBack(b) => {
                 let free = self.voter.given_back(&b.duty.as_str().into(), &member, b.token);
-                let told = self.conns.keys().filter(|_| free);
-                let freed = |c: &u64| (*c, Body::Freed(wire::Freed { duty: b.duty.clone() }));
+                // Others than planners want no seat, and a command could take this for the answer to its question.
+                let wants = |c: &Conn| c.party.as_ref().is_some_and(|p| p.role == Role::Planner);
+                let told = self.conns.iter().filter(|(_, c)| free && wants(c));
+                let freed = |(c, _): (&u64, &Conn)| (*c, Body::Freed(wire::Freed { duty: b.duty.clone() }));
                 replies.extend(told.map(freed));
-                true
+                // What many askers give back is not worth a write: forgotten, it is free after a term.
+                free
             }
             Body::Record(_) => {
                 replies.push((conn, Body::Kept(kept(&self.voter, now))));
