Auditor: a stalled machine knows what it heard, a planner what was on the wire

The other laws were asked for the same flaw. What a planner does (launch, cancel, stop) rightly counts by the socket. What it can know did not: a drain counted as told while it was held back (too strict), and a refusal as known (too lenient: a planner that launches again before it could know of it was not seen). The register's lists likewise. Change: each frame is shown twice each way, on the socket and with the stand-in; hellos count when heard, inventories when said, drains, endings and lists when sent. Conclusion: the judge was wrong and the machines right.

--- a/audit/src/lib.rs
+++ b/audit/src/lib.rs
@@ -1,11 +1,12 @@
 //! The auditor: judges the five rules from the traffic that machines, the register and owners saw, never from
 //! a planner's own words. It shares no rule code with the planner. Times are whole microseconds of one clock,
-//! that of the process in which all stand-ins live; a frame counts from when its last byte was read, or
-//! written.
+//! that of the process in which all stand-ins live. A link to a machine may hold frames back, so each frame
+//! counts when it matters: what a planner does, when it is on the machine's socket; what it can know, when
+//! that is written there; what a machine does and knows, when the machine itself says or hears it.
 pub mod laws;
 
 use crate::laws::{Law, Standing};
-use basaltpitch_agent::wire::{AnswerKind, Body, Launch, List, Readiness, Submit};
+use basaltpitch_agent::wire::{self, AnswerKind, Body, Launch, List, Readiness, Submit};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -386,13 +387,39 @@
         *word = drains_since.map(|at| word.unwrap_or(at));
     }
 
-    /// A frame that a machine wrote to a planner.
+    /// A frame of a machine's, where nothing holds any back: said and told in one.
     pub fn machine_sent(&mut self, at: i64, machine: &str, life: &Life, body: &Body) {
+        self.machine_said(at, machine, life, body);
+        self.machine_told(at, machine, life, body);
+    }
+
+    /// A frame of a machine's is on the socket: the planner can know of it. What it does before that rests
+    /// on less, whatever the machine has long decided.
+    pub fn machine_told(&mut self, at: i64, machine: &str, life: &Life, body: &Body) {
         match body {
             Body::Drain(d) => self.say((life.clone(), machine.to_owned()), 1, d.on.then_some(at)),
             Body::Inventory(i) => {
-                self.judge_greeting(at, machine, life);
                 self.say((life.clone(), machine.to_owned()), 1, i.draining.then_some(at));
+            }
+            Body::Refused(x) => self.at_launch(life, x.id, |s| {
+                s.end = s.end.or(Some((at, End::NeverRan)));
+                // A cancelled launch that is turned off after all is known not to have run from then on.
+                if !s.said_yes {
+                    s.end = s.end.map(|e| (e.0, End::NeverRan));
+                }
+            }),
+            Body::Failed(wire::Failed { id, .. }) | Body::Ended(wire::Ended { id, .. }) => {
+                self.at_launch(life, *id, |s| s.end = s.end.or(Some((at, End::MayHaveRun))));
+            }
+            _ => {}
+        }
+    }
+
+    /// A frame that a machine said to a planner, though it may still be held back.
+    pub fn machine_said(&mut self, at: i64, machine: &str, life: &Life, body: &Body) {
+        match body {
+            Body::Inventory(i) => {
+                self.judge_greeting(at, machine, life);
                 let there: HashSet<u64> =
                     i.held.iter().filter_map(|h| Some(h.launch.as_ref()?.id?.number)).collect();
                 // A launch that was read before and is not in it has ended, or was never taken in: it runs no
@@ -417,33 +444,26 @@
             }
             Body::Refused(x) => {
                 self.tally.refused += 1;
-                self.at_launch(life, x.id, |s| {
-                    s.end = s.end.or(Some((at, End::NeverRan)));
-                    // A cancelled launch that is turned off after all is known not to have run from then on.
-                    if !s.said_yes {
-                        s.end = s.end.map(|e| (e.0, End::NeverRan));
-                    }
-                    (s.over, s.over_at) = (true, at);
-                });
+                self.at_launch(life, x.id, |s| (s.over, s.over_at) = (true, at));
+            }
+            Body::Failed(wire::Failed { id, .. }) | Body::Ended(wire::Ended { id, .. }) => {
+                self.at_launch(life, *id, |s| (s.over, s.over_at) = (true, at));
             }
-            Body::Failed(x) => self.at_launch(life, x.id, |s| {
-                s.end = s.end.or(Some((at, End::MayHaveRun)));
-                (s.over, s.over_at) = (true, at);
-            }),
-            Body::Ended(x) => self.at_launch(life, x.id, |s| {
-                s.end = s.end.or(Some((at, End::MayHaveRun)));
-                (s.over, s.over_at) = (true, at);
-            }),
             _ => {}
         }
     }
 
-    fn at_launch(
-        &mut self,
-        life: &Life,
-        id: Option<basaltpitch_agent::wire::LaunchId>,
-        change: impl Fn(&mut Sent),
-    ) {
+    /// A frame that a machine heard from a planner.
+    pub fn machine_heard(&mut self, at: i64, machine: &str, life: &Life, body: &Body) {
+        if let Body::Hello(_) = body {
+            let newest = self.greeted.entry((life.0.clone(), machine.to_owned())).or_default();
+            if life.1 > newest.0 {
+                *newest = (life.1, at);
+            }
+        }
+    }
+
+    fn at_launch(&mut self, life: &Life, id: Option<wire::LaunchId>, change: impl Fn(&mut Sent)) {
         let Some(id) = id else { return };
         let of = (life.0.clone(), id.epoch);
         let Some(ask) = self.by_id.get(&(of, id.number)) else { return };
@@ -462,15 +482,9 @@
         }
     }
 
-    /// A frame that a machine read from a planner. `late`: it had not been reading for a while.
+    /// A frame of a planner's is on a machine's socket. `late`: nothing had been read there for a while.
     pub fn machine_got(&mut self, at: i64, machine: &str, conn: u64, life: &Life, body: &Body, late: bool) {
         match body {
-            Body::Hello(_) => {
-                let newest = self.greeted.entry((life.0.clone(), machine.to_owned())).or_default();
-                if life.1 > newest.0 {
-                    *newest = (life.1, at);
-                }
-            }
             Body::Launch(l) => self.launched(at, machine, conn, life, l, late),
             Body::Cancel(x) => self.at_launch(life, x.id, |s| s.end = s.end.or(Some((at, End::MayHaveRun)))),
             Body::Stop(x) => self.at_launch(life, x.id, |s| s.end = s.end.or(Some((at, End::MayHaveRun)))),
@@ -525,13 +539,7 @@
     }
 
     /// Rule 7: what an older holder of a planner's name launches after its successor acted takes no effect.
-    fn judge_fence(
-        &mut self,
-        at: i64,
-        machine: &str,
-        life: &Life,
-        id: Option<basaltpitch_agent::wire::LaunchId>,
-    ) {
+    fn judge_fence(&mut self, at: i64, machine: &str, life: &Life, id: Option<wire::LaunchId>) {
         let Some(id) = id else { return };
         let of = (life.0.clone(), id.epoch);
         let Some((newest, since)) = self.acted.get(&of.0).copied().filter(|n| id.epoch < n.0) else { return };
--- a/audit/tests/forged.rs
+++ b/audit/tests/forged.rs
@@ -235,7 +235,7 @@
 /// A name's older holder, epoch 1, and its successor, epoch 2.
 fn greeted(a: &mut Auditor, at: i64, machine: &str, epoch: u64, taken: bool) {
     let of: Life = ("p".into(), epoch);
-    a.machine_got(at, machine, epoch, &of, &Body::Hello(Hello { epoch, ..Hello::default() }), false);
+    a.machine_heard(at, machine, &of, &Body::Hello(Hello { epoch, ..Hello::default() }));
     if taken {
         a.machine_sent(at + 1, machine, &of, &Body::Inventory(Inventory::default()));
     }
@@ -257,6 +257,65 @@
     assert_eq!(broken(a), [0u8; 0], "another machine, which has not heard of the newer one");
 }
 
+#[test]
+fn rule_7_what_a_stalled_machine_has_not_heard_is_nothing_to_it() {
+    // The successor's hello is on the socket long before the machine hears it.
+    let hello = |epoch| Body::Hello(Hello { epoch, ..Hello::default() });
+    let (older, newer): (Life, Life) = (("p".into(), 1), ("p".into(), 2));
+    for (heard_newer_at, want) in [(4 * S + 2, vec![]), (2 * S, vec![7])] {
+        let mut a = auditor();
+        a.machine_got(S, "m0", 1, &older, &hello(1), false);
+        a.machine_got(2 * S, "m0", 2, &newer, &hello(2), false);
+        if heard_newer_at < 4 * S {
+            a.machine_heard(heard_newer_at, "m0", &newer, &hello(2));
+        }
+        a.machine_heard(4 * S, "m0", &older, &hello(1));
+        a.machine_said(4 * S + 1, "m0", &older, &Body::Inventory(Inventory::default()));
+        if heard_newer_at > 4 * S {
+            a.machine_heard(heard_newer_at, "m0", &newer, &hello(2));
+        }
+        // Held back once more, the inventory says nothing of when the machine took the planner in.
+        a.machine_told(9 * S, "m0", &older, &Body::Inventory(Inventory::default()));
+        assert_eq!(broken(a), want, "the newer hello heard at {heard_newer_at}");
+    }
+}
+
+#[test]
+fn rule_2_a_planner_that_launches_again_before_it_can_know_of_the_refusal() {
+    for (told_at, want) in [(2 * S, vec![]), (4 * S, vec![2])] {
+        let mut a = auditor();
+        asks(&mut a, 0, "small");
+        launch(&mut a, S, "small", 1, "m0");
+        let refused = Body::Refused(Refused { id: id(1), key: "k".into(), why: 1, report: None });
+        a.machine_said(S, "m0", &life(), &refused);
+        if told_at < 3 * S {
+            a.machine_told(told_at, "m0", &life(), &refused);
+        }
+        launch(&mut a, 3 * S, "small", 2, "m1");
+        if told_at > 3 * S {
+            a.machine_told(told_at, "m0", &life(), &refused);
+        }
+        answer(&mut a, 5 * S, 1);
+        assert_eq!(broken(a), want, "refused at {S}, told at {told_at}");
+    }
+}
+
+#[test]
+fn rule_3_a_drain_that_is_held_back_is_not_known() {
+    for (told_at, want) in [(6 * S, vec![]), (2 * S, vec![3])] {
+        let mut a = auditor();
+        asks(&mut a, 0, "small");
+        let drain = Body::Drain(wire::Drain { machine: "m0".into(), on: true, ..wire::Drain::default() });
+        a.machine_said(2 * S, "m0", &life(), &drain);
+        if told_at < 5 * S {
+            a.machine_told(told_at, "m0", &life(), &drain);
+        }
+        launch(&mut a, 5 * S, "small", 1, "m0");
+        answer(&mut a, 6 * S, 1);
+        assert_eq!(broken(a), want, "said at {}, told at {told_at}", 2 * S);
+    }
+}
+
 #[test]
 fn rule_7_what_an_older_holder_sends_after_its_successor_acted_takes_no_effect() {
     for (at, accepted, want) in [(2 * S, true, vec![]), (3 * S, false, vec![]), (3 * S, true, vec![7])] {
--- a/standins/src/machine.rs
+++ b/standins/src/machine.rs
@@ -266,7 +266,9 @@
             let (mut auditor, now) = (world.auditor.borrow_mut(), world.clock.now());
             match seen {
                 Seen::Read { body, late } => auditor.machine_got(now, &name, seen_as, &life, body, late),
-                Seen::Wrote { body } => auditor.machine_sent(now, &name, &life, body),
+                Seen::Heard { body } => auditor.machine_heard(now, &name, &life, body),
+                Seen::Wrote { body } => auditor.machine_said(now, &name, &life, body),
+                Seen::Sent { body } => auditor.machine_told(now, &name, &life, body),
                 Seen::Gone => auditor.machine_cut(now, seen_as),
             }
         };
--- a/standins/src/register.rs
+++ b/standins/src/register.rs
@@ -99,7 +99,7 @@
         self.watchers.insert(conn, Watcher { orders, watches: false, knows: Entries::new() });
         let (world, clock) = (self.world.clone(), self.world.clock);
         let show = move |hello: &wire::Hello, seen: Seen| {
-            if let Seen::Wrote { body: Body::List(list) } = seen {
+            if let Seen::Sent { body: Body::List(list) } = seen {
                 let life = (hello.name.clone(), hello.epoch);
                 world.auditor.borrow_mut().register_sent(world.clock.now(), &life, list);
             }
--- a/standins/src/rough.rs
+++ b/standins/src/rough.rs
@@ -1,6 +1,6 @@
 //! A rough link: it carries bytes between a socket and a stand-in's conversation, and spoils them on command.
-//! What comes and goes on the socket is shown to the auditor frame by frame, when it is read or written
-//! there.
+//! What comes and goes is shown to the auditor frame by frame, twice each way: while bytes are held back, a
+//! frame is on the socket at one time and with the stand-in at another.
 use basaltpitch_agent::framing::Cutter;
 use basaltpitch_agent::link::Clock;
 use basaltpitch_agent::wire::{Body, Hello, Role};
@@ -27,10 +27,25 @@
     pub ends: Cell<u64>,
 }
 
-/// Something seen on a socket.
+/// Something seen on a link.
 pub enum Seen<'a> {
-    Read { body: &'a Body, late: bool },
-    Wrote { body: &'a Body },
+    /// Read from the socket: the peer has sent it. `late`: nothing had been read there for a while.
+    Read {
+        body: &'a Body,
+        late: bool,
+    },
+    /// Handed to the stand-in, which knows of it from now on.
+    Heard {
+        body: &'a Body,
+    },
+    /// The stand-in has said it.
+    Wrote {
+        body: &'a Body,
+    },
+    /// Written to the socket: the peer can know of it from now on.
+    Sent {
+        body: &'a Body,
+    },
     Gone,
 }
 
@@ -52,6 +67,8 @@
     let (mut reads, mut writes) = (Cutter::default(), Cutter::default());
     let (mut to_inner, mut to_socket): (Vec<u8>, Vec<u8>) = (Vec::new(), Vec::new());
     let (mut from_socket, mut from_inner) = (vec![0; 32 * 1024], vec![0; 32 * 1024]);
+    // The whole frames among those bytes.
+    let (mut unheard, mut unsent): (Vec<Body>, Vec<Body>) = (Vec::new(), Vec::new());
     let mut peer: Option<Hello> = None;
     let mut deaf_before = 0;
     let ends = knobs.ends.get();
@@ -72,9 +89,11 @@
             if !to_inner.is_empty() && inner.write_all(&std::mem::take(&mut to_inner)).await.is_err() {
                 break;
             }
+            unheard.drain(..).zip(peer.iter().cycle()).for_each(|(b, p)| show(p, Seen::Heard { body: &b }));
             if !to_socket.is_empty() && socket.write_all(&std::mem::take(&mut to_socket)).await.is_err() {
                 break;
             }
+            unsent.drain(..).zip(peer.iter().cycle()).for_each(|(b, p)| show(p, Seen::Sent { body: &b }));
         }
         // Knobs are turned at any time: a look every few milliseconds is often enough.
         let look = tokio::time::sleep(std::time::Duration::from_millis(5));
@@ -95,6 +114,7 @@
                         let late = deaf_before > 0 && clock.now() < deaf_before + 500_000;
                         show(peer, Seen::Read { body, late });
                     }
+                    unheard.extend(body);
                 }
             }
             got = inner.read(&mut from_inner) => {
@@ -117,6 +137,7 @@
                     to_socket.extend_from_slice(&bytes);
                     if let (Some(peer), Some(body), false) = (&peer, &body, dead) {
                         show(peer, Seen::Wrote { body });
+                        unsent.push(body.clone());
                     }
                 }
             }
@@ -128,5 +149,7 @@
         show(peer, Seen::Gone);
     }
     // What was read before the end still comes in, however late: the receiver must cope with it.
-    let _ = inner.write_all(&to_inner).await;
+    if inner.write_all(&to_inner).await.is_ok() {
+        unheard.iter().zip(peer.iter().cycle()).for_each(|(body, p)| show(p, Seen::Heard { body }));
+    }
 }
