Exchange: summaries of each seat passed on by chance, with token, number and age

Need: planners must know how much room and time the fleet has left; until now each saw only its own askings. Change: package exchange/, decisions without I/O. Nothing is taken but in answer to an own question, so no age is understated, however slow the way; a summary counts only under the token that the council told of its seat; quiet is told apart from unheard. What cannot be true is dropped with an error that names peer and field and what an operator can do. Not on sockets yet.

--- /dev/null
+++ b/exchange/tests/every_state.rs
@@ -0,0 +1,303 @@
+//! Every state that three seats can reach within stated bounds: frames lost, late, doubled and overtaken,
+//! planners that say nothing for a while, and a successor whose predecessor lives on and publishes. At no
+//! moment does a reader hold what nobody published under the token that the council told it, go back to an
+//! older summary, or take one for younger than it is.
+use basaltpitch_exchange::{Call, Carried, Exchange, Has, Heard, Pace, Told};
+use pathfinding::directed::bfs::bfs_reach;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+
+const SEATS: usize = 3;
+/// Processes 0 to 2 have seats 0 to 2 under token 1; process 3 succeeds process 0 under token 2.
+const PROCESSES: usize = 4;
+const SUCCESSOR: usize = 3;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Word(u8);
+
+impl Carried for Word {
+    fn wrong(&self) -> Option<(String, String, String)> {
+        None
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Frame {
+    Ask { from: usize, to: usize, question: u64, has: Vec<Has> },
+    Answer { from: usize, to: usize, question: u64, all: Vec<Told<Word>> },
+}
+
+/// What is taken away, to see that the check notices it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Without {
+    Nothing,
+    /// A summary's age is taken as it is told, whatever time its way took.
+    Way,
+    /// A late or doubled answer counts for the question that is open now.
+    Questions,
+    /// A successor publishes under its predecessor's token.
+    Tokens,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Bounds {
+    ticks: i64,
+    /// By process: how often it publishes.
+    publishes: [u8; PROCESSES],
+    /// How often two processes are linked anew.
+    talks: u32,
+    /// Frames that are late or lost.
+    late: u32,
+    doubled: bool,
+    /// Who may talk to whom.
+    pairs: &'static [(usize, usize)],
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    without: Without,
+    bounds: Bounds,
+    now: i64,
+    all: [Rc<Exchange<Word>>; PROCESSES],
+    published: [u8; PROCESSES],
+    /// By seat, token and number: when it was made, and what it said.
+    truth: BTreeMap<Has, (i64, Word)>,
+    /// The highest that each process held of each seat.
+    most: [[(u64, u64); SEATS]; PROCESSES],
+    net: Rc<BTreeSet<Frame>>,
+    flying: VecDeque<Frame>,
+    /// By asker and answerer: the question that is open and when it was asked.
+    open: BTreeMap<(usize, usize), (u64, i64)>,
+    late: u32,
+    talks: u32,
+    wrong: Option<&'static str>,
+}
+
+fn seat_of(process: usize) -> usize {
+    process % SUCCESSOR
+}
+
+impl World {
+    fn new(without: Without, bounds: Bounds) -> Self {
+        let pace = Pace { round: 1, patience: 9, fresh: 2, partners: 2, swap: 99, most: 9 };
+        let mut world = World {
+            without,
+            bounds,
+            now: 0,
+            all: [0, 1, 2, 3].map(|p| Rc::new(Exchange::new(0, pace, SEATS, seat_of(p), 1, 1))),
+            published: [0; PROCESSES],
+            truth: BTreeMap::new(),
+            most: [[(0, 0); SEATS]; PROCESSES],
+            net: Rc::default(),
+            flying: VecDeque::new(),
+            open: BTreeMap::new(),
+            late: 0,
+            talks: 0,
+            wrong: None,
+        };
+        let token = world.token(SUCCESSOR);
+        world.all[SUCCESSOR] = Rc::new(Exchange::new(0, pace, SEATS, 0, token, 1));
+        for p in 0..PROCESSES {
+            let exchange = Rc::make_mut(&mut world.all[p]);
+            (0..SEATS).for_each(|seat| exchange.seated(0, seat, 1, None));
+            // Links stand; their first questions are over.
+            for other in (0..PROCESSES).filter(|o| seat_of(*o) != seat_of(p)) {
+                let _ = exchange.linked(
+                    0,
+                    other as u64,
+                    seat_of(other),
+                    if other == SUCCESSOR { token } else { 1 },
+                    false,
+                );
+                while let Some(call) = exchange.next_call() {
+                    if let Call::Ask { link, question, .. } = call {
+                        exchange.answered(0, link, question, []);
+                    }
+                }
+            }
+        }
+        world
+    }
+
+    fn token(&self, process: usize) -> u64 {
+        if process == SUCCESSOR && self.without != Without::Tokens {
+            2
+        } else {
+            1
+        }
+    }
+
+    fn called(&mut self, p: usize) {
+        while let Some(call) = Rc::make_mut(&mut self.all[p]).next_call() {
+            match call {
+                Call::Ask { link, question, has } => {
+                    let to = link as usize;
+                    self.open.insert((p, to), (question, self.now));
+                    self.flying.push_back(Frame::Ask { from: p, to, question, has });
+                }
+                Call::Answer { link, question, all } => {
+                    self.flying.push_back(Frame::Answer { from: p, to: link as usize, question, all });
+                }
+                Call::Dial { .. } | Call::Hang { .. } => {}
+            }
+        }
+    }
+
+    /// Each frame on its way arrives, or is late.
+    fn settle(mut self, all: &mut Vec<World>) {
+        while let Some(frame) = self.flying.pop_front() {
+            if self.late < self.bounds.late {
+                let mut w = World { late: self.late + 1, ..self.clone() };
+                Rc::make_mut(&mut w.net).insert(frame.clone());
+                w.settle(all);
+            }
+            self.arrives(&frame);
+        }
+        self.judge();
+        all.push(self);
+    }
+
+    fn arrives(&mut self, frame: &Frame) {
+        let now = self.now;
+        match frame.clone() {
+            Frame::Ask { from, to, question, has } => {
+                let asked = Rc::make_mut(&mut self.all[to]).asked(now, from as u64, question, has);
+                if asked.is_err() {
+                    self.wrong = Some("a question in order is refused");
+                }
+                self.called(to);
+            }
+            Frame::Answer { from, to, mut question, mut all } => {
+                let open = self.open.get(&(to, from)).copied().unwrap_or_default();
+                match self.without {
+                    Without::Way => all.iter_mut().for_each(|t| t.age = (t.age - (now - open.1)).max(0)),
+                    Without::Questions => question = open.0,
+                    _ => {}
+                }
+                let link = from as u64;
+                Rc::make_mut(&mut self.all[to]).answered(now, link, question, all);
+                self.called(to);
+            }
+        }
+    }
+
+    /// What each process holds, against what was published.
+    fn judge(&mut self) {
+        for p in 0..PROCESSES {
+            for seat in (0..SEATS).filter(|s| *s != seat_of(p)) {
+                let Heard::Fresh { token, number, age, carried } = self.all[p].heard(self.now, seat) else {
+                    continue;
+                };
+                match self.truth.get(&(seat, token, number)) {
+                    None => self.wrong = Some("it holds what nobody published"),
+                    Some((_, word)) if word != carried => {
+                        self.wrong = Some("it holds another's word for the seat's")
+                    }
+                    Some((made_at, _)) if age < self.now - made_at => {
+                        self.wrong = Some("it takes a summary for younger than it is");
+                    }
+                    Some(_) => {}
+                }
+                if (token, number) < self.most[p][seat] {
+                    self.wrong = Some("it goes back to an older summary");
+                }
+                self.most[p][seat] = (token, number).max(self.most[p][seat]);
+            }
+        }
+    }
+
+    fn next(&self) -> Vec<World> {
+        let mut all = Vec::new();
+        let mut push = |mut w: World| {
+            w.judge();
+            all.push(w);
+        };
+        if self.now < self.bounds.ticks {
+            push(World { now: self.now + 1, ..self.clone() });
+        }
+        for p in 0..PROCESSES {
+            let (has, may) = (self.published[p], self.bounds.publishes[p]);
+            if has < may {
+                let mut w = self.clone();
+                let word = Word(10 * p as u8 + has);
+                w.published[p] += 1;
+                w.truth.insert((seat_of(p), self.token(p), u64::from(has) + 1), (self.now, word.clone()));
+                if Rc::make_mut(&mut w.all[p]).publish(self.now, word).is_err() {
+                    w.wrong = Some("a summary in order is refused");
+                }
+                push(w);
+            }
+            // The council tells of the successor, in no order and perhaps never.
+            if self.bounds.publishes[SUCCESSOR] > 0 && (1..SUCCESSOR).contains(&p) {
+                let mut w = self.clone();
+                Rc::make_mut(&mut w.all[p]).seated(self.now, 0, self.token(SUCCESSOR), None);
+                w.called(p);
+                if w.all[p] != self.all[p] {
+                    push(w);
+                }
+            }
+        }
+        if self.talks < self.bounds.talks {
+            for &(a, b) in self.bounds.pairs {
+                let mut w = World { talks: self.talks + 1, ..self.clone() };
+                let (seat, token) = (seat_of(b), w.token(b));
+                let exchange = Rc::make_mut(&mut w.all[a]);
+                exchange.unlinked(self.now, b as u64);
+                // An old holder is not linked to; that it is refused is no fault.
+                let _ = exchange.linked(self.now, b as u64, seat, token, false);
+                w.called(a);
+                w.settle(&mut all);
+            }
+        }
+        for frame in self.net.iter() {
+            let mut w = self.clone();
+            if !self.bounds.doubled {
+                Rc::make_mut(&mut w.net).remove(frame);
+            }
+            w.arrives(frame);
+            w.settle(&mut all);
+        }
+        all
+    }
+}
+
+/// The number of states, or what is wrong in the first state in which something is.
+fn explore(without: Without, bounds: Bounds) -> Result<usize, &'static str> {
+    let mut states = 0;
+    for world in bfs_reach(World::new(without, bounds), World::next) {
+        states += 1;
+        if let Some(why) = world.wrong {
+            return Err(why);
+        }
+    }
+    Ok(states)
+}
+
+/// What passes over a third, with frames late and lost.
+const PASSED_ON: Bounds =
+    Bounds { ticks: 2, publishes: [2, 0, 0, 0], talks: 2, late: 1, doubled: false, pairs: &[(1, 0), (2, 1)] };
+const LATE: Bounds = Bounds { talks: 2, late: 2, pairs: &[(1, 0)], ..PASSED_ON };
+const DOUBLED: Bounds = Bounds { doubled: true, ..LATE };
+const ROUND: Bounds =
+    Bounds { talks: 3, publishes: [2, 0, 1, 0], pairs: &[(1, 0), (2, 1), (0, 2)], ..PASSED_ON };
+/// The old holder lives on, publishes and talks.
+const SUCCEEDED: Bounds =
+    Bounds { ticks: 1, publishes: [1, 0, 0, 1], talks: 3, pairs: &[(1, 0), (2, 3), (1, 2)], ..PASSED_ON };
+
+#[test]
+fn no_reader_is_told_what_is_not_so_in_any_state() {
+    let mut visited = 0;
+    for bounds in [PASSED_ON, LATE, DOUBLED, ROUND, SUCCEEDED] {
+        let states = explore(Without::Nothing, bounds);
+        assert!(states.is_ok(), "{states:?} within {bounds:?}");
+        visited += states.unwrap_or(0);
+    }
+    assert!(visited > 100_000, "{visited} states are too few to say anything");
+}
+
+#[test]
+fn the_check_notices_what_is_missing() {
+    assert_eq!(explore(Without::Way, LATE), Err("it takes a summary for younger than it is"));
+    assert_eq!(explore(Without::Questions, DOUBLED), Err("it takes a summary for younger than it is"));
+    assert_eq!(explore(Without::Tokens, SUCCEEDED), Err("it holds another's word for the seat's"));
+}
