Planners under seats tell each other how they are, over links of their own

Need: what the exchange decides had no sockets; planners saw only themselves. Change: planner/src/peers.rs between the council, the sockets and exchange. Two new frames, Digest and Summaries; a field Record.prefix. Each second a planner says its open askings, its answers, and by hall its machines, those ready, their cores and the cores used at confidence; a planner without tenure says nothing. basaltpitch planner shows each seat: heard, quiet or unheard, under which epoch, how old. A link to or from a process that lost its seat ends, with the reason and a help. The relay delays without narrowing (a late chunk held up the next) and cuts by who dials. Proved by processes of the binary with relays between them (cli/tests/exchange.rs): a stopped planner is unheard, not quiet, its successor is heard under a higher epoch and the old one's waking changes nothing; ways cut both ways and one, 500 ms late, healed. Module and adapter untouched. Conclusion: the figures are there; nothing decides by them yet.

--- a/cli/src/council.rs
+++ b/cli/src/council.rs
@@ -56,9 +56,12 @@
 }
 
 /// The seats of an installation, by the number of the planner.
+/// What the names of all seats begin with.
+pub const SEATS: &str = "planner-";
+
 pub fn seats(found: &Installation) -> Vec<Rc<str>> {
     let planners = found.all.number("planners").unwrap_or(1.0) as usize;
-    (0..planners).map(|n| format!("planner-{n}").into()).collect()
+    (0..planners).map(|n| format!("{SEATS}{n}").into()).collect()
 }
 
 pub fn needed(found: &Installation) -> Result<(Terms, Vec<Way>), Failure> {
@@ -140,7 +143,7 @@
         Ok(_) => (name, Err("another answer than was asked for".into())),
         Err(why) => (name, Err(why)),
     };
-    let all = ask_all(voters, &Body::Record(wire::Record { brief }))?;
+    let all = ask_all(voters, &Body::Record(wire::Record { brief, ..wire::Record::default() }))?;
     Ok(all.into_iter().map(kept).collect())
 }
 
--- a/cli/src/roll.rs
+++ b/cli/src/roll.rs
@@ -81,6 +81,7 @@
     let me = Party { role: Role::Planner, name, epoch, link: 0, login: String::new() };
     let (acts, mut duties) = mpsc::channel(16);
     let start = council::Start {
+        peers: None,
         terms,
         voters,
         seats: Vec::new(),
@@ -97,6 +98,7 @@
         let mut plan = plan;
         while let Some(word) = duties.recv().await {
             match word {
+                Duty::Seats(_) => {}
                 Duty::Won { token, .. } => {
                     // A new roll is named by the token: it rises from one to the next.
                     plan.id = if plan.id == 0 { token } else { plan.id };
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -1,11 +1,12 @@
 //! `basaltpitch serve`: one planner, under a name and number of its own or under a seat of the council.
-use crate::council::{council_of, open, seats, told_to_stop};
+use crate::council::{council_of, open, seats, told_to_stop, SEATS};
 use crate::{load, Failure};
 use basaltpitch::host::{Given, Value};
 use basaltpitch_agent::session::Party;
 use basaltpitch_agent::wire::Role;
 use basaltpitch_planner::core::Who;
 use basaltpitch_planner::council::{self, Tenure, Wish, Word};
+use basaltpitch_planner::peers::Meeting;
 use basaltpitch_planner::roll::{self, Duties};
 use basaltpitch_planner::service::{self, Start};
 use basaltpitch_records::installation::{Installation, Laid, Seat};
@@ -41,6 +42,9 @@
     /// Where owners and operators are listened to
     #[arg(long, default_value = "127.0.0.1:7410")]
     listen: String,
+    /// Where other planners reach it, host and port, if not where it listens; only under a seat
+    #[arg(long, requires = "seat")]
+    advertise: Option<String>,
     /// Its incarnation; later lives need a higher one. By default the time of its start in microseconds
     #[arg(long, conflicts_with = "seat")]
     epoch: Option<u64>,
@@ -61,8 +65,16 @@
     name: String,
     number: usize,
     epoch: u64,
-    tenure: Option<Tenure>,
-    duties: Option<Duties>,
+    /// Of a seat.
+    under: Option<Under>,
+}
+
+/// What a life under a seat has beside its name.
+struct Under {
+    tenure: Tenure,
+    duties: Duties,
+    /// All seats, in order.
+    seats: Vec<Rc<str>>,
 }
 
 /// Cores and memory of each kind of machine.
@@ -118,15 +130,25 @@
                 let me = Party { role: Role::Planner, name, epoch: started, link: 0, login: String::new() };
                 let seed = self.seed.unwrap_or(started);
                 let (duties, follows) = (vec![roll::DUTY.into()], vec![roll::WISH.into()]);
-                let start =
-                    council::Start { terms, voters, seats: may, duties, follows, acts: None, me, seed };
+                let peers = Some(SEATS.into());
+                let start = council::Start {
+                    terms,
+                    voters,
+                    seats: may,
+                    duties,
+                    follows,
+                    peers,
+                    acts: None,
+                    me,
+                    seed,
+                };
                 let local = tokio::task::LocalSet::new();
                 local.block_on(&runtime, self.under_seats(&installation, &all, start, json))
             }
             (Some(name), None, None) => {
                 let (name, number) = (name.clone(), self.number);
                 let epoch = self.epoch.unwrap_or(started);
-                let life = Life { name, number, epoch, tenure: None, duties: None };
+                let life = Life { name, number, epoch, under: None };
                 let stop = async {
                     let _ = tokio::signal::ctrl_c().await;
                 };
@@ -165,9 +187,9 @@
             let number = all.iter().position(|s| *s == seat).unwrap_or(0);
             let sizes = sizes(installation);
             let grace = installation.all.time("rules.drain_grace").unwrap_or(0);
-            let duties = Some(Duties { heard, wishes: wishes.clone(), sizes, grace });
-            let tenure = Some(tenure.clone());
-            let life = Life { name: seat.to_string(), number, epoch: token, tenure, duties };
+            let duties = Duties { heard, wishes: wishes.clone(), sizes, grace };
+            let under = Some(Under { tenure: tenure.clone(), duties, seats: all.to_vec() });
+            let life = Life { name: seat.to_string(), number, epoch: token, under };
             let mut ends = false;
             let stop = async {
                 tokio::select! {
@@ -196,7 +218,7 @@
         stop: impl Future<Output = ()>,
         json: bool,
     ) -> Result<(), Failure> {
-        let Life { name, number, epoch, tenure, duties } = life;
+        let Life { name, number, epoch, under } = life;
         let planners = installation.all.number("planners").unwrap_or(1.0) as usize;
         if number >= planners {
             let most = planners - 1;
@@ -210,7 +232,7 @@
         let given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
         let clauses = crate::clauses_of(installation)?;
         let directory = crate::directory_of(installation)?;
-        let store = match (self.state.as_ref().map(|folder| open(folder, &name)).transpose(), &tenure) {
+        let store = match (self.state.as_ref().map(|folder| open(folder, &name)).transpose(), &under) {
             (Ok(store), _) => store,
             // The one before may still have the file, stopped as it is: the seat matters more.
             (Err(Failure::Wrong(why) | Failure::Failed(why)), Some(_)) => {
@@ -221,7 +243,7 @@
         };
         let record = self.record.as_ref().map(|path| {
             let mut path = path.clone().into_os_string();
-            if tenure.is_some() {
+            if under.is_some() {
                 path.push(format!(".{epoch}"));
             }
             let file = std::fs::File::create(&path);
@@ -242,7 +264,17 @@
             println!("{} listens on {at}, epoch {epoch}", who.name);
         }
         let _ = std::io::stdout().flush();
-        let start = Start { who, given, record, clauses, directory, store, tenure, duties };
+        let halls = installation.names("zones");
+        let meets = |under: Under| {
+            // All addresses of a machine are no address that another could dial.
+            let listens = Some(at.to_string()).filter(|_| !at.ip().is_unspecified());
+            let address = self.advertise.clone().or(listens);
+            let (tenure, wishes) = (under.tenure.clone(), under.duties.wishes.clone());
+            let meeting = Meeting { seats: under.seats, me: number, address, halls, tenure, wishes };
+            (Some(under.tenure), Some(under.duties), Some(meeting))
+        };
+        let (tenure, duties, meeting) = under.map_or((None, None, None), meets);
+        let start = Start { who, given, record, clauses, directory, store, tenure, duties, meeting };
         service::serve(listener, start, stop).await;
         Ok(())
     }
--- a/exchange/src/wrong.rs
+++ b/exchange/src/wrong.rs
@@ -52,6 +52,19 @@
 }
 
 impl Wrong {
+    /// Whose word it is.
+    pub fn peer(&self) -> usize {
+        match *self {
+            Wrong::Seat { peer, .. }
+            | Wrong::OldHolder { peer, .. }
+            | Wrong::Token { peer, .. }
+            | Wrong::Number { peer, .. }
+            | Wrong::Age { peer, .. }
+            | Wrong::Carried { peer, .. }
+            | Wrong::Question { peer, .. } => peer,
+        }
+    }
+
     /// It happens in good order, around a hand-over or on a slow way.
     pub fn is_usual(&self) -> bool {
         matches!(self, Wrong::OldHolder { .. } | Wrong::Token { .. } | Wrong::Question { .. })
--- a/exchange/tests/drawn.rs
+++ b/exchange/tests/drawn.rs
@@ -290,7 +290,8 @@
          10 seats: all know after 629 ms, 795 ms at most (3.2 rounds); 13 frames/s and 8 kB/s a planner
         100 seats: all know after 1282 ms, 1515 ms at most (6.1 rounds); 15 frames/s and 94 kB/s a planner
         300 seats: all know after 1668 ms, 1845 ms at most (7.4 rounds); 15 frames/s and 281 kB/s a planner
-    "#]].assert_eq(&rows);
+    "#]]
+    .assert_eq(&rows);
 }
 
 #[test]
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -42,6 +42,8 @@
     /// The duties that it takes beside a seat, and those whose notes it follows while it holds one.
     pub duties: Vec<Rc<str>>,
     pub follows: Vec<Rc<str>>,
+    /// What the names of all seats begin with, for a process that is to know of the others while it is seated.
+    pub peers: Option<Rc<str>>,
     /// Where what comes of these is told, for a process that wants them without a seat.
     pub acts: Option<mpsc::Sender<Duty>>,
     /// Who it is: a name of its own and the time of its start.
@@ -98,6 +100,8 @@
         duty: Rc<str>,
         note: Vec<u8>,
     },
+    /// A voter tells of all seats who has them: under which token, and what its holder has written there.
+    Seats(Vec<(Rc<str>, u64, Option<Vec<u8>>)>),
 }
 
 /// What the process asks of the council.
@@ -142,6 +146,9 @@
     seeks: bool,
     duties: Vec<Rc<str>>,
     follows: Vec<Rc<str>>,
+    peers: Option<Rc<str>>,
+    /// Looks since it was seated: at each, another voter is asked for the seats.
+    looked: usize,
     /// Of the duties beside the seat that are held: token and tenure, and the number of the last note
     /// written.
     held: BTreeMap<Rc<str>, (u64, Tenure, u64)>,
@@ -157,7 +164,7 @@
 
 /// Takes a seat when one is free, holds it, and says when it is lost; until `wishes` ends or says to leave.
 pub async fn run(start: Start, tenure: Tenure, words: mpsc::Sender<Word>, mut wishes: mpsc::Receiver<Wish>) {
-    let Start { terms, voters, seats, duties, follows, acts, me, seed } = start;
+    let Start { terms, voters, seats, duties, follows, peers, acts, me, seed } = start;
     let clock = Clock::start();
     let (heard_out, mut heard) = mpsc::channel(INBOX);
     for (v, way) in voters.iter().enumerate() {
@@ -175,6 +182,8 @@
         seeks: true,
         duties,
         follows,
+        peers,
+        looked: 0,
         held: BTreeMap::new(),
         acts,
         notes: BTreeMap::new(),
@@ -207,10 +216,7 @@
                 }
             },
             Some((v, heard)) = heard.recv() => a.hear(v, heard),
-            _ = looks.tick(), if a.seeks && a.seated.is_none() || !a.held.is_empty() => {
-                let brief = a.held.is_empty();
-                a.all_voters(|| Body::Record(wire::Record { brief }));
-            }
+            _ = looks.tick() => a.look(),
             () = tokio::time::sleep(Duration::from_micros(wait as u64)) => {}
         }
     }
@@ -266,11 +272,44 @@
         }
     }
 
+    /// Asks what the voters keep, as far as it is needed.
+    fn look(&mut self) {
+        if self.seeks && self.seated.is_none() || !self.held.is_empty() {
+            let record = wire::Record { brief: self.held.is_empty(), ..wire::Record::default() };
+            self.all_voters(|| Body::Record(record.clone()));
+        }
+        let Some(prefix) = self.peers.as_ref().filter(|_| self.seated.is_some()) else { return };
+        // Of a holder that renewed each voter of its majority knows: one is enough, and another each time, as
+        // one may be cut off or behind. Just seated, it asks them all.
+        self.looked += 1;
+        if self.looked == 1 || self.looked.is_multiple_of(2) {
+            let ask = Body::Record(wire::Record { brief: true, prefix: prefix.to_string() });
+            let linked: Vec<&mpsc::Sender<Order>> = self.voters.iter().flatten().collect();
+            let one = linked.get(self.looked / 2 % linked.len().max(1)).filter(|_| self.looked > 1);
+            let whom: Vec<_> = one.map_or(linked.clone(), |one| vec![*one]);
+            whom.iter().for_each(|orders| drop(orders.try_send(Order::Send(ask.clone(), None))));
+        }
+    }
+
+    /// Tells who has seats, as a voter keeps it: in one word, so that hundreds of them don't fill the way of
+    /// what must be told.
+    fn tell_seats(&mut self, kept: &wire::Kept) {
+        let (Some(acts), Some(prefix)) = (&self.acts, &self.peers) else { return };
+        let held = |d: &&wire::KeptDuty| d.duty.starts_with(&**prefix) && d.renewed && !d.holder.is_empty();
+        let seat = |d: &wire::KeptDuty| {
+            let note = (d.note_token == d.token && !d.note.is_empty()).then(|| d.note.clone());
+            (Rc::from(d.duty.as_str()), d.token, note)
+        };
+        // Not taken, it is told at one of the next looks.
+        let _ = acts.try_send(Duty::Seats(kept.duties.iter().filter(held).map(seat).collect()));
+    }
+
     fn hear(&mut self, v: usize, heard: Heard) {
         let now = awake();
         match heard {
             Heard::Up(orders) => {
-                let _ = orders.try_send(Order::Send(Body::Record(wire::Record { brief: true }), None));
+                let brief = wire::Record { brief: true, ..wire::Record::default() };
+                let _ = orders.try_send(Order::Send(Body::Record(brief), None));
                 self.voters[v] = Some(orders);
             }
             Heard::Down => {
@@ -307,6 +346,7 @@
                 let others = kept.duties.iter().filter(|d| d.left_us > 0 && *d.holder != *self.me);
                 self.seats.told(v, others.map(|d| Rc::from(d.duty.as_str())));
                 self.seek(now);
+                self.tell_seats(&kept);
                 for d in kept.duties {
                     let of = self.follows.iter().find(|f| ***f == *d.duty).filter(|_| !self.held.is_empty());
                     if let Some(of) = of.filter(|_| !d.note.is_empty()) {
@@ -388,6 +428,8 @@
             if let Some(number) = self.member.write(awake(), &duty, text) {
                 held.2 = number;
             }
+        } else if self.seated.as_ref() == Some(&duty) && self.member.holds(awake(), &duty) == Some(token) {
+            self.member.write(awake(), &duty, text);
         }
     }
 
@@ -448,7 +490,7 @@
                 }
                 Call::Won { duty, token, .. } => {
                     tracing::info!(seat = &*duty, token, "seated");
-                    self.seated = Some(duty.clone());
+                    (self.seated, self.looked) = (Some(duty.clone()), 0);
                     let (acts, duties) = mpsc::channel(INBOX);
                     self.acts = Some(acts);
                     let _ = self.words.send(Word::Seated { seat: duty, token, duties }).await;
--- a/planner/src/lib.rs
+++ b/planner/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod core;
 pub mod council;
 pub mod hands;
+pub mod peers;
 pub mod recording;
 pub mod roll;
 pub mod service;
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -3,6 +3,7 @@
 //! their peers nothing more. A peer that does not read is cut off, and may come back and ask again.
 use crate::core::{Core, Out, Who, REGISTER};
 use crate::council::{Duty, Tenure};
+use crate::peers::{Meeting, Peers};
 use crate::roll::{Duties, Rolls};
 use crate::tenancy::{Learnt, Task, Ways};
 use crate::view;
@@ -25,13 +26,20 @@
 /// News that wait for the actor, and orders that wait for a link.
 const INBOX: usize = 1024;
 const ORDERS: usize = 4096;
+/// To another planner little is under way: a question and an answer.
+const PEERS_ORDERS: usize = 16;
 /// News that are handled before orders go out.
 const BATCH: usize = 256;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum From {
-    Peer { peer: usize, link: u64 },
+    Peer {
+        peer: usize,
+        link: u64,
+    },
     Conn(u64),
+    /// Another planner, dialled from here; one that dials is a connection.
+    Planner(u64),
 }
 
 struct Linked {
@@ -55,6 +63,8 @@
     pub tenure: Option<Tenure>,
     /// What it does beside placing, under a seat.
     pub duties: Option<Duties>,
+    /// How it meets the other planners, under a seat.
+    pub meeting: Option<Meeting>,
 }
 
 /// Names of what is remembered of tenants: all of it, and when it was last heard in full.
@@ -162,13 +172,17 @@
     core: Core,
     clock: Clock,
     me: Party,
-    peers: HashMap<usize, Linked>,
+    /// Machines and the register that are dialled or linked.
+    linked: HashMap<usize, Linked>,
     conns: HashMap<u64, mpsc::Sender<Order>>,
     first: mpsc::Sender<(From, News)>,
     sweeps: Option<Sweeps>,
     memories: Option<std::sync::mpsc::SyncSender<(i64, Option<Vec<u8>>)>>,
     tenure: Option<Tenure>,
     rolls: Option<Rolls>,
+    peers: Option<Peers>,
+    /// Where news of links to other planners go: they may be dropped, those of machines may not.
+    later: mpsc::Sender<(From, News)>,
 }
 
 /// The next word of the council, where there is one.
@@ -177,7 +191,7 @@
 }
 
 async fn actor(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
-    let Start { who, given, record, clauses, directory, store, tenure, duties } = start;
+    let Start { who, given, record, clauses, directory, store, tenure, duties, meeting } = start;
     let clock = Clock::start();
     let me = Party {
         role: Role::Planner,
@@ -190,7 +204,7 @@
     let (first, mut machines) = mpsc::channel(INBOX);
     let (later, mut owners) = mpsc::channel(INBOX);
     let (news, mut heard) = mpsc::channel(16);
-    let seed = who.seed;
+    let (seed, epoch) = (who.seed, who.epoch);
     let mut core = Core::new(who, given, clock.now(), record);
     let (clauses, places) = clauses.into_iter().unzip();
     core.bind(clauses, places);
@@ -202,14 +216,29 @@
     let memories = store.map(writer);
     let (peers, links) = (HashMap::new(), HashMap::new());
     let rolls = duties.map(Rolls::new);
-    let mut a = Actor { core, clock, me, peers, conns: links, first, sweeps, memories, tenure, rolls };
+    let others = meeting.map(|meeting| Peers::new(clock.now(), meeting, epoch, seed));
+    let mut a = Actor {
+        core,
+        clock,
+        me,
+        linked: peers,
+        conns: links,
+        first,
+        sweeps,
+        memories,
+        tenure,
+        rolls,
+        peers: others,
+        later,
+    };
     let mut conns = 0;
     let mut accepting = Accepting::new(listener);
     tokio::pin!(stop);
     loop {
         a.carry_out();
         let roll_at = a.rolls.as_ref().map_or(i64::MAX, Rolls::next_at);
-        let wake = clock.at(a.core.next_at().min(roll_at));
+        let peers_at = a.peers.as_ref().map_or(i64::MAX, Peers::next_at);
+        let wake = clock.at(a.core.next_at().min(roll_at).min(peers_at));
         tokio::select! {
             biased;
             () = &mut stop => break,
@@ -221,16 +250,15 @@
                 }
             }
             Some(of) = heard.recv() => a.hear_directory(of),
-            Some(word) = word(&mut a.rolls) => {
-                if let Some(rolls) = &mut a.rolls {
-                    rolls.hear(clock.now(), word);
-                }
-            }
+            Some(word) = word(&mut a.rolls) => a.hear_council(word),
             () = tokio::time::sleep_until(wake) => {
                 a.core.clock(clock.now());
                 if let Some(rolls) = &mut a.rolls {
                     rolls.clock(clock.now());
                 }
+                if let Some(peers) = &mut a.peers {
+                    peers.clock(clock.now(), &a.core);
+                }
             }
             Some((from, news)) = owners.recv() => {
                 a.hear(from, news);
@@ -241,11 +269,11 @@
             }
             (stream, _) = accepting.next() => {
                 conns += 1;
-                a.accept(stream, conns, later.clone());
+                a.accept(stream, conns);
             }
         }
     }
-    for (_, linked) in a.peers.drain() {
+    for (_, linked) in a.linked.drain() {
         let _ = linked.orders.try_send(Order::Close("the planner stops".into()));
     }
     for (_, orders) in a.conns.drain() {
@@ -255,9 +283,10 @@
 }
 
 impl Actor {
-    fn accept(&mut self, stream: TcpStream, conn: u64, news: mpsc::Sender<(From, News)>) {
+    fn accept(&mut self, stream: TcpStream, conn: u64) {
         let (orders, inbox) = mpsc::channel(ORDERS);
         self.conns.insert(conn, orders);
+        let news = self.later.clone();
         let (me, clock) = (self.me.clone(), self.clock);
         tokio::task::spawn_local(link::run(stream, me, clock, inbox, news, move |n| (From::Conn(conn), n)));
     }
@@ -265,12 +294,30 @@
     fn dial(&mut self, peer: usize, link: u64, name: &str, address: &str) {
         tracing::debug!(peer = name, address, link, "dial");
         let (orders, inbox) = mpsc::channel(ORDERS);
-        self.peers.insert(peer, Linked { link, orders });
+        self.linked.insert(peer, Linked { link, orders });
+        self.connect(From::Peer { peer, link }, link, address, inbox, self.first.clone());
+    }
+
+    /// Another planner is dialled.
+    fn meet(&mut self, link: u64, address: &str) {
+        let (orders, inbox) = mpsc::channel(PEERS_ORDERS);
+        self.conns.insert(link, orders);
+        self.connect(From::Planner(link), link, address, inbox, self.later.clone());
+    }
+
+    fn connect(
+        &self,
+        from: From,
+        link: u64,
+        address: &str,
+        inbox: mpsc::Receiver<Order>,
+        news: mpsc::Sender<(From, News)>,
+    ) {
         let me = Party { link, ..self.me.clone() };
-        let (clock, news) = (self.clock, self.first.clone());
+        let clock = self.clock;
         let within = Duration::from_micros(self.core.connect_us() as u64);
         let address = address.to_owned();
-        let wrap = move |n| (From::Peer { peer, link }, n);
+        let wrap = move |n| (from, n);
         tokio::task::spawn_local(async move {
             let why = match tokio::time::timeout(within, TcpStream::connect(&address)).await {
                 Ok(Ok(stream)) => {
@@ -307,11 +354,53 @@
             From::Peer { peer: REGISTER, link } => self.hear_register(now, link, news),
             From::Peer { peer, link } => self.hear_machine(now, peer, link, news),
             From::Conn(conn) => self.hear_conn(now, conn, news),
+            From::Planner(link) => self.hear_planner(now, link, news),
+        }
+    }
+
+    fn hear_council(&mut self, word: Duty) {
+        let now = self.clock.now();
+        match (word, &mut self.peers, &mut self.rolls) {
+            (Duty::Seats(seats), Some(peers), _) => {
+                for (seat, token, note) in seats {
+                    let address = note.as_deref().and_then(|note| std::str::from_utf8(note).ok());
+                    peers.seated(now, &seat, token, address);
+                }
+            }
+            (word, _, Some(rolls)) => rolls.hear(now, word),
+            _ => {}
+        }
+    }
+
+    /// News of a link to another planner, of either side's dialling.
+    fn hear_planner(&mut self, now: i64, link: u64, news: News) {
+        let Some(peers) = &mut self.peers else {
+            return self.close_conn(link, "role: found a planner; this one has no seat and meets none");
+        };
+        let done = match news {
+            News::Session(Event::Up(party)) if party.role == Role::Planner => {
+                let Some(orders) = self.conns.get(&link).cloned() else { return };
+                peers.up(now, link, &party, orders)
+            }
+            News::Session(Event::Up(_)) => return self.close_conn(link, "role: expected a planner"),
+            News::Session(Event::Frame(body)) => peers.frame(now, link, body),
+            News::Session(_) => return,
+            News::Ended { why, .. } => {
+                tracing::debug!(link, why, "no link to a planner any more");
+                self.conns.remove(&link);
+                peers.down(now, link);
+                return;
+            }
+        };
+        if let Err(e) = done {
+            let help = miette::Diagnostic::help(&e).map(|h| h.to_string()).unwrap_or_default();
+            tracing::info!(error = %e, help, "a link to another planner ends");
+            self.close_conn(link, &e.to_string());
         }
     }
 
     fn close_peer(&mut self, peer: usize, link: u64, why: &str) {
-        if let Some(linked) = self.peers.get(&peer).filter(|x| x.link == link) {
+        if let Some(linked) = self.linked.get(&peer).filter(|x| x.link == link) {
             let _ = linked.orders.try_send(Order::Close(why.to_owned()));
         }
     }
@@ -337,7 +426,7 @@
             News::Session(_) => {}
             News::Ended { why, .. } => {
                 tracing::warn!(why, "the register does not answer; the last list stands");
-                self.peers.remove(&REGISTER);
+                self.linked.remove(&REGISTER);
                 self.core.register_down(now);
                 if let Some(rolls) = &mut self.rolls {
                     rolls.unheard();
@@ -382,8 +471,8 @@
                     unsent = unsent.len(),
                     "link down"
                 );
-                if self.peers.get(&m).is_some_and(|x| x.link == link) {
-                    self.peers.remove(&m);
+                if self.linked.get(&m).is_some_and(|x| x.link == link) {
+                    self.linked.remove(&m);
                 }
                 self.core.machine_down(now, m, link, &unsent);
             }
@@ -392,12 +481,17 @@
 
     fn hear_conn(&mut self, now: i64, conn: u64, news: News) {
         match news {
+            news if self.peers.as_ref().is_some_and(|p| p.knows(conn)) => self.hear_planner(now, conn, news),
+            News::Session(Event::Up(party)) if party.role == Role::Planner && self.peers.is_some() => {
+                self.hear_planner(now, conn, News::Session(Event::Up(party)));
+            }
             News::Session(Event::Up(party)) if !matches!(party.role, Role::Owner | Role::Operator) => {
                 self.close_conn(conn, "role: expected an owner or an operator");
             }
             News::Session(Event::Up(party)) => self.core.conn_up(conn, &party.login),
             News::Session(Event::Frame(body)) => {
-                if let Err(e) = view::conn_frame(&mut self.core, now, conn, body) {
+                let others = || self.peers.as_ref().map(|p| p.view(now));
+                if let Err(e) = view::conn_frame(&mut self.core, now, conn, body, others) {
                     tracing::warn!(conn, error = e, "a question that makes no sense");
                     self.close_conn(conn, &e);
                 }
@@ -424,7 +518,7 @@
             match out {
                 Out::Dial { peer, link, name, address } => self.dial(peer, link, &name, &address),
                 Out::Register(body) => {
-                    if let Some(linked) = self.peers.get(&REGISTER) {
+                    if let Some(linked) = self.linked.get(&REGISTER) {
                         let _ = linked.orders.try_send(Order::Send(body, None));
                     }
                 }
@@ -443,14 +537,17 @@
                     }
                 }
                 Out::Hang { machine, why } => {
-                    if let Some(linked) = self.peers.get(&machine) {
+                    if let Some(linked) = self.linked.get(&machine) {
                         let _ = linked.orders.try_send(Order::Close(why.to_owned()));
                     }
                 }
             }
         }
+        while let Some((link, address)) = self.peers.as_mut().and_then(Peers::next_out) {
+            self.meet(link, &address);
+        }
         while let Some(body) = self.rolls.as_mut().and_then(Rolls::next_out) {
-            if let Some(linked) = self.peers.get(&REGISTER) {
+            if let Some(linked) = self.linked.get(&REGISTER) {
                 let _ = linked.orders.try_send(Order::Send(body, None));
             }
         }
@@ -459,7 +556,7 @@
     fn send_machine(&mut self, machine: usize, body: Body, mark: Option<u64>) {
         // A process that was stopped wakes with launches decided: by then another may have its seat.
         let unseated = mark.is_some() && self.tenure.as_ref().is_some_and(|t| !t.holds());
-        if let Some(linked) = self.peers.get(&machine).filter(|_| !unseated) {
+        if let Some(linked) = self.linked.get(&machine).filter(|_| !unseated) {
             match linked.orders.try_send(Order::Send(body, mark)) {
                 Ok(()) => return,
                 Err(TrySendError::Full(_)) => {
@@ -468,7 +565,7 @@
                         "the machine does not read; its link ends"
                     );
                     // Dropping the orders ends the link once it has taken those that wait.
-                    self.peers.remove(&machine);
+                    self.linked.remove(&machine);
                 }
                 Err(TrySendError::Closed(_)) => {}
             }
--- a/planner/src/view.rs
+++ b/planner/src/view.rs
@@ -9,14 +9,28 @@
     (x * 1000.0).round() / 1000.0
 }
 
-/// A frame of an owner's or operator's: a question is answered, all else is the core's. An error names field,
+/// A frame of an owner's or operator's: a question is answered, all else is the core's. `others` tells what is known of
+/// other planners. An error names field,
 /// what was found and what was expected.
-pub fn conn_frame(core: &mut Core, now: i64, conn: u64, body: Body) -> Result<(), String> {
+pub fn conn_frame(
+    core: &mut Core,
+    now: i64,
+    conn: u64,
+    body: Body,
+    others: impl FnOnce() -> Option<Value>,
+) -> Result<(), String> {
     let Body::Query(q) = body else { return core.conn_frame(now, conn, body) };
     core.set_clock(now);
     let login = core.login(conn);
     let json = match q.what.as_str() {
         "explain" => explain(core, &login, &q.about)?,
+        "planner" => {
+            let mut told = planner(core);
+            if let Some(others) = others() {
+                told["others"] = others;
+            }
+            told.to_string()
+        }
         what => answer(core, &login, what, &q.about)?,
     };
     core.tell_conn(conn, json);
--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -96,7 +96,14 @@
     }
 }
 
-fn kept(voter: &Voter<Rc<str>, Rc<str>>, past: &Past, now: i64, brief: bool) -> wire::Kept {
+/// What is kept of duties whose names begin so.
+fn kept(
+    voter: &Voter<Rc<str>, Rc<str>>,
+    past: &Past,
+    now: i64,
+    wire::Record { brief, prefix }: &wire::Record,
+) -> wire::Kept {
+    let brief = *brief;
     let past = |duty: &Rc<str>| past.get(duty).into_iter().flatten().cloned().collect();
     let duty = |(duty, k): (&Rc<str>, &Kept<Rc<str>>)| wire::KeptDuty {
         duty: duty.to_string(),
@@ -106,13 +113,13 @@
         renewed: k.renewed,
         note_token: k.note.token,
         note_number: k.note.number,
-        note: if brief { Vec::new() } else { k.note.text.clone() },
+        note: if brief && prefix.is_empty() { Vec::new() } else { k.note.text.clone() },
         past: if brief { Vec::new() } else { past(duty) },
     };
     wire::Kept {
         whole: voter.is_whole(),
         votes_in_us: (voter.votes_from() - now).max(0),
-        duties: voter.kept().map(duty).collect(),
+        duties: voter.kept().filter(|(duty, _)| duty.starts_with(prefix.as_str())).map(duty).collect(),
     }
 }
 
@@ -194,7 +201,12 @@
         let now = awake();
         // Kept while it still waits, it would let the next start vote before the wait is over.
         let Some(store) = self.store.as_ref().filter(|_| self.voter.votes(now)) else { return true };
-        let done = store.put(VOTES, FORMAT, now, &kept(&self.voter, &self.past, now, false).encode_to_vec());
+        let done = store.put(
+            VOTES,
+            FORMAT,
+            now,
+            &kept(&self.voter, &self.past, now, &wire::Record::default()).encode_to_vec(),
+        );
         if let Err(e) = &done {
             tracing::error!(error = %e, "votes cannot be kept; none is said");
         }
@@ -322,7 +334,7 @@
                 false
             }
             Body::Record(r) => {
-                replies.push((conn, Body::Kept(kept(&self.voter, &self.past, now, r.brief))));
+                replies.push((conn, Body::Kept(kept(&self.voter, &self.past, now, &r))));
                 false
             }
             _ => {
--- a/planner/tests/net/mod.rs
+++ b/planner/tests/net/mod.rs
@@ -548,7 +548,7 @@
 
     /// A question or an operator's word on the connection; an error is what the planner ends it with.
     pub fn ask(&mut self, body: Body) -> Result<String, String> {
-        basaltpitch_planner::view::conn_frame(&mut self.core, self.now, 1, body)?;
+        basaltpitch_planner::view::conn_frame(&mut self.core, self.now, 1, body, || None)?;
         self.carry();
         Ok(self.told.pop().unwrap_or_default())
     }
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -1,13 +1,18 @@
 //! A relay between processes: it carries bytes between who connects and one address, and spoils the way on
 //! command: cut both ways or one, stalled, slow, or refused. A connection that is cut one way stays open, as
 //! where a switch loses frames: who is cut off is not told.
-use std::cell::Cell;
+use basaltpitch_agent::framing::Cutter;
+use basaltpitch_agent::wire::Body;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// What is wrong with the way. All may be turned at any time.
 #[derive(Debug, Default)]
@@ -15,6 +20,8 @@
     /// Nothing gets through from who connected, or back to it. What was sent meanwhile comes later.
     pub cut_to: Cell<bool>,
     pub cut_back: Cell<bool>,
+    /// The same for connections of who says hello under a name.
+    pub cut_of: RefCell<BTreeMap<String, (bool, bool)>>,
     /// What gets through is so late.
     pub late: Cell<Duration>,
     /// A count that resets all connections when it goes up.
@@ -27,6 +34,8 @@
 
 /// Knobs are turned at any time: a look every few milliseconds is often enough.
 const LOOKS: Duration = Duration::from_millis(5);
+/// Reads that may be on their way at once.
+const LINE: usize = 256;
 
 /// Listens on a loopback port of its own, which it returns, and relays to `to`.
 pub async fn start(to: String, ways: Rc<Ways>) -> io::Result<String> {
@@ -52,25 +61,62 @@
             tokio::time::sleep(LOOKS).await;
         }
     };
+    // Who dials says so in its first frame.
+    let (who, cutter) = (RefCell::new(String::new()), RefCell::new(Some(Cutter::default())));
+    let hears = |bytes: &[u8]| {
+        let mut first = cutter.borrow_mut();
+        let Some(cutter) = first.as_mut() else { return };
+        cutter.feed(bytes);
+        if let Some((_, body)) = cutter.cut() {
+            if let Some(Body::Hello(hello)) = body {
+                *who.borrow_mut() = hello.name;
+            }
+            *first = None;
+        }
+    };
+    let of = || ways.cut_of.borrow().get(&*who.borrow()).copied().unwrap_or_default();
     tokio::select! {
-        () = one_way(near_in, far_out, &ways.cut_to, &ways) => {}
-        () = one_way(far_in, near_out, &ways.cut_back, &ways) => {}
+        () = one_way(near_in, far_out, hears, || ways.cut_to.get() || of().0, &ways) => {}
+        () = one_way(far_in, near_out, |_| {}, || ways.cut_back.get() || of().1, &ways) => {}
         () = reset => {}
     }
 }
 
 /// Carries one direction until either end is gone.
-async fn one_way(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, cut: &Cell<bool>, ways: &Ways) {
-    let mut bytes = vec![0; 16 * 1024];
-    loop {
-        let Ok(n) = from.read(&mut bytes).await else { return };
-        ways.carried.set(ways.carried.get() + n as u64);
-        tokio::time::sleep(ways.late.get()).await;
-        while cut.get() {
-            tokio::time::sleep(LOOKS).await;
+async fn one_way(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    hears: impl Fn(&[u8]),
+    cut: impl Fn() -> bool,
+    ways: &Ways,
+) {
+    // What is late does not hold up what comes after it: a long way, not a narrow one.
+    let (on_its_way, mut comes) = mpsc::channel::<(Instant, Vec<u8>)>(LINE);
+    let reads = async {
+        let mut bytes = vec![0; 16 * 1024];
+        loop {
+            let n = from.read(&mut bytes).await.unwrap_or(0);
+            ways.carried.set(ways.carried.get() + n as u64);
+            hears(&bytes[..n]);
+            let at = Instant::now() + ways.late.get();
+            if on_its_way.send((at, bytes[..n].to_vec())).await.is_err() || n == 0 {
+                return std::future::pending::<()>().await;
+            }
         }
-        if n == 0 || to.write_all(&bytes[..n]).await.is_err() {
-            return;
+    };
+    let writes = async {
+        while let Some((at, bytes)) = comes.recv().await {
+            tokio::time::sleep_until(at).await;
+            while cut() {
+                tokio::time::sleep(LOOKS).await;
+            }
+            if bytes.is_empty() || to.write_all(&bytes).await.is_err() {
+                return;
+            }
         }
+    };
+    tokio::select! {
+        () = reads => {}
+        () = writes => {}
     }
 }
