--- a/cli/src/measure_council.rs
+++ b/cli/src/measure_council.rs
@@ -1,6 +1,6 @@
-//! `basaltpitch measure-council`: what the council costs each member and each voter, by the number of
-//! members, with all of them as processes of this binary on loopback, each under a seat; and what the look at
-//! the term costs a launch.
+//! `basaltpitch measure-council`: what the council costs each member and each voter, and what it costs members
+//! to tell each other how they are, by the number of members, with all of them as processes of this binary on
+//! loopback, each under a seat; and what the look at the term costs a launch.
 use crate::processes::{measured, site, Process};
 use crate::Failure;
 use basaltpitch_planner::council::Tenure;
@@ -48,6 +48,15 @@
     Ok(each?.iter().fold((0.0, 0.0), |s, x| (s.0 + x.0, s.1 + x.1)))
 }
 
+/// Of how many seats a member hears, its own among them.
+async fn heard(listens: &str) -> io::Result<usize> {
+    let args = ["planner", "--planner", listens, "-o", "json"];
+    let asked = tokio::process::Command::new(std::env::current_exe()?).args(args).output();
+    let told: Value = serde_json::from_slice(&asked.await?.stdout).unwrap_or_default();
+    let hears = |r: &&Value| matches!(r["state"].as_str(), Some("heard" | "quiet" | "this planner"));
+    Ok(told["others"]["seats"].as_array().map_or(0, |rows| rows.iter().filter(hears).count()))
+}
+
 impl Measure {
     pub fn run(self, as_json: bool) -> Result<(), Failure> {
         measured("council", as_json, async |folder| {
@@ -80,28 +89,38 @@
         for voter in &mut voters {
             line(voter).await?;
         }
+        // Members reach each other through relays, too, so that what they say is counted.
+        let (listens, between) = (addresses(members)?, Rc::new(Ways::default()));
         let begun = Instant::now();
         let mut all = Vec::new();
-        for n in 0..members {
-            let seat = format!("planner-{n}");
+        for (n, listens) in listens.iter().enumerate() {
+            let (seat, to) = (format!("planner-{n}"), relay::start(listens.clone(), between.clone()).await?);
             let args = ["serve", &relayed, "--seat", &seat, "--zone", "hall-a", "--register", "127.0.0.1:1"];
-            all.push(Process::start(&[&args[..], &["--listen", "127.0.0.1:0"]].concat())?);
+            all.push(Process::start(&[&args[..], &["--listen", listens, "--advertise", &to]].concat())?);
         }
         for member in &mut all {
             line(member).await?;
         }
         let seated_s = begun.elapsed().as_secs_f64();
+        while heard(&listens[members - 1]).await? < members {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let heard_s = begun.elapsed().as_secs_f64();
         tokio::time::sleep(Duration::from_millis(self.term)).await;
         let (before, of_voters, bytes, from) =
             (sum(&all)?, sum(&voters)?, ways.carried.get(), Instant::now());
+        let told = between.carried.get();
         tokio::time::sleep(Duration::from_millis(self.term * self.terms)).await;
         let seconds = from.elapsed().as_secs_f64();
         let (now, voters_now, bytes) = (sum(&all)?, sum(&voters)?, ways.carried.get() - bytes);
+        let told = between.carried.get() - told;
         let each = |x: f64| (x / members as f64 * 1000.0).round() / 1000.0;
         Ok(json!({
             "members": members,
             "term_ms": self.term,
             "all_seated_after_s": (seated_s * 10.0).round() / 10.0,
+            "all_heard_after_s": (heard_s * 10.0).round() / 10.0,
+            "bytes_between_a_s_a_member": each(told as f64 / seconds),
             "bytes_a_s_a_member": each(bytes as f64 / seconds),
             "member_cpu_percent": each((now.0 - before.0) / seconds * 100.0),
             "member_mib": each(now.1),
