Askings that cannot make their time are declined at once, by the slack all share

Need: more asked than there is room for was taken in all the same, first come first served, and declined when its time was over; what slack/ decides was not in the planner. Change: planner/src/door.rs stands before the placing module, beside the tenants' door: fresh askings are weighed, and what was answered, placed or withdrawn is told to it; four times a second the line is drawn anew by what the module believes of machines and what others say. What a planner shares goes with its summary, as 4-byte figures (1 KiB for 256). An answer says what was short, what it rests on, how old that is, and when to ask again. Record admission in the installation: shared, own or none. basaltpitch planner shows the line. The module is as it was.

--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -265,16 +265,19 @@
         }
         let _ = std::io::stdout().flush();
         let halls = installation.names("zones");
+        // By its own askings alone, it tells the others all the same.
+        let alone = installation.all.text("admission") == Some("own");
         let meets = |under: Under| {
             // All addresses of a machine are no address that another could dial.
             let listens = Some(at.to_string()).filter(|_| !at.ip().is_unspecified());
             let address = self.advertise.clone().or(listens);
             let (tenure, wishes) = (under.tenure.clone(), under.duties.wishes.clone());
-            let meeting = Meeting { seats: under.seats, me: number, address, halls, tenure, wishes };
+            let meeting = Meeting { seats: under.seats, me: number, address, halls, alone, tenure, wishes };
             (Some(under.tenure), Some(under.duties), Some(meeting))
         };
         let (tenure, duties, meeting) = under.map_or((None, None, None), meets);
-        let start = Start { who, given, record, clauses, directory, store, tenure, duties, meeting };
+        let weighs = installation.all.text("admission") != Some("none");
+        let start = Start { who, given, record, clauses, directory, store, tenure, duties, weighs, meeting };
         service::serve(listener, start, stop).await;
         Ok(())
     }
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -25,8 +25,8 @@
     fn wrong(&self) -> Option<(String, String, String)>;
 }
 
-/// Figures, at most so many of them.
-pub const MOST_FIGURES: usize = 128;
+/// Figures, at most so many of them: 1 KiB on the wire.
+pub const MOST_FIGURES: usize = 256;
 
 impl Carried for Rc<[f64]> {
     fn wrong(&self) -> Option<(String, String, String)> {
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -48,6 +48,8 @@
     NotAllowed(&'static str),
     /// No machine that is known could ever meet the task's clauses.
     NoMachine,
+    /// Its time would be over before its turn.
+    NoSlack,
 }
 
 impl Reason {
@@ -61,6 +63,7 @@
             Reason::TooLate => "too little time is left",
             Reason::NotAllowed(words) => words,
             Reason::NoMachine => "no machine could ever meet its clauses",
+            Reason::NoSlack => "its time would be over before its turn",
         }
     }
 }
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -3,6 +3,7 @@
 //! module places, the ledger says what an answer means, `standing` whether a machine is offered work, `dial`
 //! when to connect. Times are whole microseconds.
 use crate::bounds::{Bounds, Stands};
+use crate::door::{Door, Refusal};
 use crate::hands::{Due, Hands, Job, Key, Wish};
 use crate::recording::Recorder;
 use crate::standing::{Link, Standing};
@@ -16,7 +17,7 @@
 use basaltpitch_clauses::{Clause, Machine as Place, Task as Facts};
 use basaltpitch_indices::{number_of, Lodgers};
 use basaltpitch_ledger::{
-    Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Promises, Reason, PROMISES,
+    Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Phase, Promises, Reason, PROMISES,
 };
 use basaltpitch_tenants::{Change, Sweep};
 use serde_json::{json, Value};
@@ -28,6 +29,8 @@
 /// Services and machines that nothing holds leave their indices after this time.
 const KEEP_IDS: i64 = 600_000_000;
 const ROUND: i64 = 1_000_000;
+/// The line of the door is drawn anew each so often.
+const LINE: i64 = 250_000;
 /// Rows that one answer holds at the most.
 pub(crate) const MOST_ROWS: usize = 1000;
 /// Probes whose answer is waited for; a further one is not sent.
@@ -96,6 +99,8 @@
     logins: HashMap<u64, Rc<str>>,
     /// An asking that is declined at the door.
     at_door: Option<AtDoor>,
+    /// Whether askings are worth starting, where that is looked at.
+    pub(crate) door: Option<Door>,
     /// Where each clause stands, in words for answers.
     clauses: Vec<String>,
     machines: Lodgers<Rc<str>>,
@@ -197,6 +202,7 @@
             tenancy,
             logins: HashMap::new(),
             at_door: None,
+            door: None,
             clauses: Vec::new(),
             machines: Lodgers::default(),
             known: Vec::new(),
@@ -246,6 +252,7 @@
                 Due::Launch(launch) => self.placing.host.on_ledger(|l, acts| l.timed_out(launch, acts)),
                 Due::Probe(n) => self.probe_failed(n, Outcome::TimedOut),
                 Due::Round => self.round(),
+                Due::Line => self.draw_line(),
             }
             self.settle();
         }
@@ -259,6 +266,23 @@
         }
     }
 
+    // The door.
+
+    /// From now on askings that are not worth starting are declined at once.
+    pub fn weigh(&mut self, now: i64, door: Door) {
+        self.door = Some(door);
+        self.placing.host.timers.set(now + LINE, Due::Line);
+    }
+
+    fn draw_line(&mut self) {
+        let now = self.now();
+        self.placing.host.timers.set(now + LINE, Due::Line);
+        let Some(mut door) = self.door.take() else { return };
+        let ready = self.machines().filter(|(_, s, _)| s.readiness() == Readiness::Ready);
+        door.draw(now, ready.map(|x| x.2));
+        self.door = Some(door);
+    }
+
     // Clauses.
 
     /// From now on clauses bind, with a name and place of each for answers. To be called before anything else
@@ -869,6 +893,9 @@
         match body {
             Body::Submit(s) => self.submit(conn, s),
             Body::Withdraw(w) => {
+                if let Some(door) = &mut self.door {
+                    door.over(&(w.key.as_str().into(), w.ask));
+                }
                 self.placing.host.on_ledger(|l, acts| l.withdraw(&w.key.as_str().into(), w.ask, acts));
             }
             Body::Drain(drain) => {
@@ -959,8 +986,14 @@
         let (cores, memory, runs_for_us) = (s.cores, s.memory, s.runs_for_us);
         let Asked { tenant, stale_us, refused } = asked;
         let facts = self.facts(framework, tenant, s.service, &s.key);
-        let words = if refused.is_none() { self.never(facts.as_ref()) } else { None };
-        let refused = refused.or(words.as_ref().map(|_| (Reason::NoMachine, 0)));
+        let mut words = if refused.is_none() { self.never(facts.as_ref()) } else { None };
+        let mut refused = refused.or(words.as_ref().map(|_| (Reason::NoMachine, 0)));
+        if refused.is_none() {
+            if let Some(refusal) = self.not_worth(&s, framework) {
+                refused = Some((Reason::NoSlack, refusal.retry_after_us));
+                words = Some(refusal.words);
+            }
+        }
         let job = Job { framework, tenant, service: s.service, cores, memory, runs_for_us, stale_us, facts };
         let asking = Asking { key: s.key.as_str().into(), ask: s.ask, owner: conn, kind, job };
         let host = &mut self.placing.host;
@@ -975,6 +1008,16 @@
         }
     }
 
+    /// Whether an asking is not worth starting. One that is open, answered or runs is no new one.
+    fn not_worth(&mut self, s: &wire::Submit, framework: usize) -> Option<Refusal> {
+        let (now, key): (i64, Key) = (self.now(), s.key.as_str().into());
+        let known = self.placing.host.ledger.record(&key);
+        if known.is_some_and(|r| s.ask <= r.ask || r.phase == Phase::Placed) {
+            return None;
+        }
+        self.door.as_mut()?.asked(now, (key, s.ask), framework, s.cores, s.time_left_us)
+    }
+
     // What was decided is carried out.
 
     fn tell(&mut self, told: Told) {
@@ -1120,6 +1163,14 @@
         let mut a = wire::Answer { key: key.to_string(), ask, ..wire::Answer::default() };
         let rests_on = self.placing.host.ledger.record(&key).filter(|r| r.ask == ask);
         a.stale_us = rests_on.map_or(0, |r| r.job.stale_us);
+        if let Some(door) = &mut self.door {
+            let (now, asked) = (self.placing.host.now, (key.clone(), ask));
+            match answer {
+                Answer::Placed { .. } => door.placed(now, &asked),
+                Answer::Declined { reason: Reason::NoRoom, .. } => door.missed(now, &asked),
+                _ => door.over(&asked),
+            }
+        }
         match answer {
             Answer::Placed { machine } => {
                 self.counts.placed += 1;
@@ -1132,7 +1183,7 @@
                 (a.retry_after_us, a.reason) = (retry_after_us, reason.words().to_owned());
                 a.not_allowed = matches!(reason, Reason::NotAllowed(_));
                 match (reason, self.at_door.as_mut().filter(|d| d.ask == ask)) {
-                    (Reason::NotAllowed(_) | Reason::NoMachine, Some(door)) => {
+                    (Reason::NotAllowed(_) | Reason::NoMachine | Reason::NoSlack, Some(door)) => {
                         a.stale_us = door.stale_us;
                         a.reason = door.words.take().unwrap_or(a.reason);
                     }
--- a/planner/src/hands.rs
+++ b/planner/src/hands.rs
@@ -36,6 +36,8 @@
     Probe(u64),
     /// The planner's own round: records and ids that leave.
     Round,
+    /// The line of the door is drawn anew.
+    Line,
 }
 
 /// Calls of the module that are not about a task.
--- a/planner/src/lib.rs
+++ b/planner/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bounds;
 pub mod core;
 pub mod council;
+pub mod door;
 pub mod hands;
 pub mod peers;
 pub mod recording;
--- a/planner/src/peers.rs
+++ b/planner/src/peers.rs
@@ -8,6 +8,7 @@
 use basaltpitch_agent::session::Party;
 use basaltpitch_agent::wire::{self, Body};
 use basaltpitch_exchange::{Call, Exchange, Heard, Pace, Told, Wrong, MOST_FIGURES};
+use basaltpitch_slack::Share;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
@@ -19,6 +20,7 @@
 const DIALLED: u64 = 1 << 63;
 /// Figures before those of halls, and of each hall.
 const COUNTS: [&str; 4] = ["open", "placed", "declined", "aborted"];
+const HALLS_AT: usize = COUNTS.len() + Share::FIGURES;
 const OF_HALL: [&str; 4] = ["machines", "ready", "cores", "used"];
 
 /// What a planner under a seat needs to meet the others.
@@ -29,6 +31,8 @@
     /// Where others reach it.
     pub address: Option<String>,
     pub halls: Vec<String>,
+    /// What others say is not weighed in what is declined here.
+    pub alone: bool,
     pub tenure: Tenure,
     pub wishes: mpsc::Sender<Wish>,
 }
@@ -67,31 +71,41 @@
     }
 
     /// Time passes. A planner that lost its seat, and does not know it yet, says nothing of itself.
-    pub fn clock(&mut self, now: i64, core: &Core) {
+    pub fn clock(&mut self, now: i64, core: &mut Core) {
         if now >= self.publishes_at {
             self.publishes_at = now + PUBLISHES;
             if self.meeting.tenure.holds() {
-                if let Err(e) = self.exchange.publish(now, self.share(core)) {
+                if let Err(e) = self.exchange.publish(now, self.share(now, core)) {
                     tracing::error!(error = %e, "what this planner would say of itself cannot be true");
                 }
             }
         }
         self.exchange.clock(now);
+        if let Some(door) = core.door.as_mut().filter(|_| !self.meeting.alone) {
+            let others = (0..self.exchange.seats()).filter(|seat| *seat != self.meeting.me);
+            let fresh = |seat| {
+                let (age, figures) = self.exchange.heard(now, seat).fresh()?;
+                Some((age, Share::read(figures.get(COUNTS.len()..)?)?))
+            };
+            door.hear(now, others.filter_map(fresh));
+        }
     }
 
-    /// What this planner says of itself: its counts, and by hall what it believes of machines.
-    fn share(&self, core: &Core) -> Rc<[f64]> {
+    /// What this planner says of itself: its counts, what it shares of its askings, and by hall what it believes
+    /// of machines.
+    fn share(&self, now: i64, core: &mut Core) -> Rc<[f64]> {
         let counts = core.counts;
         let mut all =
             vec![core.open() as f64, counts.placed as f64, counts.declined as f64, counts.aborted as f64];
-        let halls = self.meeting.halls.len().min((MOST_FIGURES - COUNTS.len()) / OF_HALL.len());
-        all.resize(COUNTS.len() + halls * OF_HALL.len(), 0.0);
+        all.extend(core.door.as_mut().map(|door| door.share(now)).unwrap_or_default().figures());
+        let halls = self.meeting.halls.len().min((MOST_FIGURES - HALLS_AT) / OF_HALL.len());
+        all.resize(HALLS_AT + halls * OF_HALL.len(), 0.0);
         for (_, standing, belief) in core.machines() {
             let hall = standing.place.1;
             if hall >= halls {
                 continue;
             }
-            let of = &mut all[COUNTS.len() + hall * OF_HALL.len()..];
+            let of = &mut all[HALLS_AT + hall * OF_HALL.len()..];
             of[0] += 1.0;
             if standing.readiness() == Readiness::Ready {
                 of[1] += 1.0;
@@ -138,7 +152,7 @@
             }
             Body::Summaries(s) => {
                 let told = |s: wire::Summary| {
-                    let (seat, carried) = (s.seat as usize, s.figures.into());
+                    let (seat, carried) = (s.seat as usize, s.figures.into_iter().map(f64::from).collect());
                     Told { seat, token: s.token, number: s.number, age: s.age_us, carried }
                 };
                 let wrong = self.exchange.answered(now, link, s.question, s.all.into_iter().map(told));
@@ -195,7 +209,7 @@
                 }
                 Call::Answer { link, question, all } => {
                     let summary = |t: Told<Rc<[f64]>>| {
-                        let (seat, figures) = (t.seat as u32, t.carried.to_vec());
+                        let (seat, figures) = (t.seat as u32, t.carried.iter().map(|x| *x as f32).collect());
                         wire::Summary { seat, token: t.token, number: t.number, age_us: t.age, figures }
                     };
                     let all = all.into_iter().map(summary).collect();
@@ -230,7 +244,7 @@
             };
             let counts: serde_json::Map<String, Value> =
                 COUNTS.iter().zip(figures).map(|(name, x)| ((*name).to_owned(), json!(x))).collect();
-            let of_halls = figures.get(COUNTS.len()..).unwrap_or(&[]).chunks(OF_HALL.len());
+            let of_halls = figures.get(HALLS_AT..).unwrap_or(&[]).chunks(OF_HALL.len());
             let halls = self.meeting.halls.iter().zip(of_halls).map(|(hall, of)| {
                 let of: serde_json::Map<String, Value> =
                     OF_HALL.iter().zip(of).map(|(name, x)| ((*name).to_owned(), json!(x))).collect();
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -3,6 +3,7 @@
 //! their peers nothing more. A peer that does not read is cut off, and may come back and ask again.
 use crate::core::{Core, Out, Who, REGISTER};
 use crate::council::{Duty, Tenure};
+use crate::door::Door;
 use crate::peers::{Meeting, Peers};
 use crate::roll::{Duties, Rolls};
 use crate::tenancy::{Learnt, Task, Ways};
@@ -63,6 +64,8 @@
     pub tenure: Option<Tenure>,
     /// What it does beside placing, under a seat.
     pub duties: Option<Duties>,
+    /// Whether askings that are not worth starting are declined at once.
+    pub weighs: bool,
     /// How it meets the other planners, under a seat.
     pub meeting: Option<Meeting>,
 }
@@ -191,7 +194,7 @@
 }
 
 async fn actor(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
-    let Start { who, given, record, clauses, directory, store, tenure, duties, meeting } = start;
+    let Start { who, given, record, clauses, directory, store, tenure, duties, weighs, meeting } = start;
     let clock = Clock::start();
     let me = Party {
         role: Role::Planner,
@@ -205,7 +208,12 @@
     let (later, mut owners) = mpsc::channel(INBOX);
     let (news, mut heard) = mpsc::channel(16);
     let (seed, epoch) = (who.seed, who.epoch);
+    let frameworks = given.keys().filter(|k| k.starts_with("classes.") && k.ends_with(".worth")).count();
+    let door = weighs.then(|| Door::new(clock.now(), seed, &given, frameworks));
     let mut core = Core::new(who, given, clock.now(), record);
+    if let Some(door) = door {
+        core.weigh(clock.now(), door);
+    }
     let (clauses, places) = clauses.into_iter().unzip();
     core.bind(clauses, places);
     let sweeps = directory.map(|directory| {
@@ -257,7 +265,7 @@
                     rolls.clock(clock.now());
                 }
                 if let Some(peers) = &mut a.peers {
-                    peers.clock(clock.now(), &a.core);
+                    peers.clock(clock.now(), &mut a.core);
                 }
             }
             Some((from, news)) = owners.recv() => {
--- a/planner/tests/sockets.rs
+++ b/planner/tests/sockets.rs
@@ -58,6 +58,7 @@
         store: None,
         tenure: None,
         duties: None,
+        weighs: false,
         meeting: None,
     };
     tokio::task::spawn_local(serve(listener, start, std::future::pending()));
--- a/slack/src/own.rs
+++ b/slack/src/own.rs
@@ -129,6 +129,15 @@
 
     /// What other planners say that are heard, each with its age; the line is drawn anew.
     pub fn others(&mut self, now: i64, mut others: Vec<(i64, Share)>) {
+        // What went without a word is not waited for.
+        let line = &mut self.line;
+        self.waiting.retain(|_, w| {
+            let keeps = now < w.limit_at + REMEMBERS;
+            if !keeps {
+                line.waits_more(w.band, -w.cores);
+            }
+            keeps
+        });
         let own = self.share(now);
         while self.seen.front().is_some_and(|s| s.0 < now - REMEMBERS) {
             self.seen.pop_front();
