--- a/audit/src/lib.rs
+++ b/audit/src/lib.rs
@@ -4,6 +4,7 @@
 //! counts when it matters: what a planner does, when it is on the machine's socket; what it can know, when
 //! that is written there; what a machine does and knows, when the machine itself says or hears it.
 pub mod laws;
+mod worth;
 
 use crate::laws::{Law, Standing};
 use basaltpitch_agent::wire::{self, AnswerKind, Body, Launch, List, Readiness, Submit};
@@ -36,6 +37,8 @@
     /// none, machine, cell or zone
     pub spread: String,
     pub most: usize,
+    pub worth: f64,
+    pub goal: i64,
 }
 
 /// Where a machine is.
@@ -57,7 +60,7 @@
     pub what: String,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Tally {
     pub asks: usize,
     pub placed: usize,
@@ -70,14 +73,24 @@
     pub yes: usize,
     pub refused: usize,
     pub most_cold_offers: usize,
+    /// Declined for want of room when over half of its time had gone: taken in, and not worth it.
+    pub missed: usize,
+    /// Worth of all tasks asked for, of those placed, and of those placed within their latency goal.
+    pub worth_asked: f64,
+    pub worth_placed: f64,
+    pub worth_in_goal: f64,
 }
 
 #[derive(Debug, Default)]
 struct Ask {
+    asked_at: i64,
+    cores: f64,
     limit_at: i64,
     submits: usize,
     answers: Vec<(i64, i32)>,
     excused: bool,
+    /// Declined for another reason than want of room.
+    held_off: bool,
     framework: String,
 }
 
@@ -302,6 +315,7 @@
         let ask = self.asks.entry(id).or_default();
         if ask.submits == 0 {
             ask.limit_at = at + s.time_left_us;
+            (ask.asked_at, ask.cores) = (at, s.cores);
             ask.framework = s.framework.clone();
             ask.excused = self.stopped.contains(life);
             self.tally.asks += 1;
@@ -333,6 +347,7 @@
                 format!("an answer to asking {} that was never made", a.ask),
             );
         };
+        ask.held_off |= a.not_allowed || a.reason.contains("may still run");
         ask.answers.push((at, a.kind));
         let (first, answers, submits) = (ask.answers[0], ask.answers.len(), ask.submits);
         let (limit_at, excused) = (ask.limit_at, ask.excused);
@@ -655,6 +670,7 @@
                 self.breach(1, a.limit_at, life, key, format!("asking {ask}: no answer"));
             }
         }
+        self.judge_worth(&asks);
         let launches = std::mem::take(&mut self.launches);
         for (id, sent) in &launches {
             if let Some(ask) = asks.get(id) {
--- a/audit/tests/forged.rs
+++ b/audit/tests/forged.rs
@@ -15,11 +15,14 @@
         window: 6 * S,
         spread: spread.into(),
         most: 2,
+        worth: 1.0,
+        goal: S,
     };
     let frameworks = HashMap::from([
         ("small".to_owned(), framework("repeatable", "all", "none")),
         ("big".to_owned(), framework("keyed", "zone", "none")),
         ("once".to_owned(), framework("once-only", "all", "machine")),
+        ("dear".to_owned(), Framework { worth: 5.0, ..framework("repeatable", "all", "none") }),
     ]);
     let terms = Terms {
         answer_grace: S / 4,
@@ -340,6 +343,44 @@
     }
 }
 
+#[test]
+fn rule_11_nothing_of_less_worth_is_placed_while_more_worth_is_declined() {
+    // By the time between askings, and what becomes of the dear ones: all declined, or one of them placed.
+    let cases = [
+        (S / 4, "room", None, vec![11]),
+        (S / 4, "room", Some(7), vec![]),
+        (S / 4, "a launch may still run", None, vec![]),
+        // Too few within the age of the view.
+        (S, "room", None, vec![]),
+    ];
+    for (gap, reason, placed, want) in cases {
+        let mut a = auditor();
+        for n in 0..16 {
+            for (framework, kind) in [("dear", if placed == Some(n) { 1 } else { 2 }), ("small", 1)] {
+                let (at, key) = (n * gap, format!("{framework}/{n}"));
+                let submit = Submit {
+                    key: key.clone(),
+                    ask: 1,
+                    framework: framework.into(),
+                    cores: 1.0,
+                    time_left_us: 9 * S,
+                    ..Submit::default()
+                };
+                a.owner_sent(at, &life(), &submit);
+                let reason = reason.to_owned();
+                let answer = Answer { key, ask: 1, kind, reason, ..Answer::default() };
+                a.owner_got(at + 1, &life(), &Body::Answer(answer));
+            }
+        }
+        let (breaches, tally) = a.finish(100 * S);
+        let rules: Vec<u8> = breaches.iter().map(|b| b.rule).collect();
+        assert_eq!(rules, want, "{gap} us, {reason}, placed {placed:?}: {breaches:?}");
+        let dear = if placed.is_some() { 5.0 } else { 0.0 };
+        let worth = (tally.worth_asked, tally.worth_placed, tally.worth_in_goal, tally.missed);
+        assert_eq!(worth, (96.0, 16.0 + dear, 16.0 + dear, 0));
+    }
+}
+
 #[test]
 fn a_stopped_planner_may_answer_late_and_must_not_answer_twice() {
     for (kinds, want) in [(vec![2], vec![]), (vec![2, 1], vec![1])] {
--- a/cli/src/drill.rs
+++ b/cli/src/drill.rs
@@ -46,7 +46,7 @@
         "seed {}: {} machines, {} planners, {} tasks wanted\n\n",
         v.seed, v.machines, v.planners, v.wanted
     );
-    let rows: [(&str, String); 12] = [
+    let rows: [(&str, String); 14] = [
         ("askings", format!("{}", t.asks)),
         ("  placed", format!("{}", t.placed)),
         ("  declined", format!("{}", t.declined)),
@@ -61,6 +61,14 @@
             "submit to placed",
             format!("p50 {} ms, p99 {} ms, p99.9 {} ms", v.placed_ms.p50, v.placed_ms.p99, v.placed_ms.p999),
         ),
+        (
+            "worth of what was asked",
+            format!(
+                "{:.0}, placed {:.0}, within its latency goal {:.0}",
+                t.worth_asked, t.worth_placed, t.worth_in_goal
+            ),
+        ),
+        ("taken in and missed", format!("{}", t.missed)),
         ("offers to a cold machine", format!("{} in a window at most", t.most_cold_offers)),
     ];
     for (name, value) in rows {
@@ -83,6 +91,9 @@
         let word = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
         text += &format!("rule {} {rule:26}{word}\n", i + 1);
     }
+    let broken = v.breaches.iter().filter(|b| b.rule == 11).count();
+    let word = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
+    text += &format!("rule 11 {:25}{word}\n", "worth more goes first");
     if v.stale_answers + v.newcomers > 0 || !v.tenant_faults.is_empty() {
         text += &format!(
             "tenants: {} answers said that they rest on old knowledge, {} to a newcomer once known, {} wrong\n",
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -17,7 +17,8 @@
 use basaltpitch_clauses::{Clause, Machine as Place, Task as Facts};
 use basaltpitch_indices::{number_of, Lodgers};
 use basaltpitch_ledger::{
-    Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Phase, Promises, Reason, PROMISES,
+    Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Phase, Promises, Reason,
+    PROMISES,
 };
 use basaltpitch_tenants::{Change, Sweep};
 use serde_json::{json, Value};
@@ -274,6 +275,10 @@
         self.placing.host.timers.set(now + LINE, Due::Line);
     }
 
+    pub fn door(&self) -> Option<&Door> {
+        self.door.as_ref()
+    }
+
     fn draw_line(&mut self) {
         let now = self.now();
         self.placing.host.timers.set(now + LINE, Due::Line);
--- a/planner/src/door.rs
+++ b/planner/src/door.rs
@@ -35,7 +35,14 @@
     }
 
     /// An owner asks anew. An asking that is let in waits here until it is answered.
-    pub fn asked(&mut self, now: i64, asked: Asked, framework: usize, cores: f64, left: i64) -> Option<Refusal> {
+    pub fn asked(
+        &mut self,
+        now: i64,
+        asked: Asked,
+        framework: usize,
+        cores: f64,
+        left: i64,
+    ) -> Option<Refusal> {
         let (worth, goal) = self.worths[framework];
         match self.own.asked(now, asked, worth, cores, goal, left) {
             Verdict::Now | Verdict::Waits => None,
--- a/planner/src/view.rs
+++ b/planner/src/view.rs
@@ -102,7 +102,7 @@
         "watches_list": core.is_watching(),
         "open": core.ledger().open(),
         "counts": core.counts,
-        "line": core.door.as_ref().map(|door| door.view()),
+        "line": core.door().map(|door| door.view()),
     })
 }
 
--- /dev/null
+++ b/planner/tests/door.rs
@@ -0,0 +1,67 @@
+//! The door by slack before the whole core: what it declines, and what it must let alone.
+mod net;
+use basaltpitch_agent::wire::{AnswerKind, EndedHow};
+use basaltpitch_planner::door::Door;
+use net::{given, Net, SMALL};
+
+/// A planner with a few machines that are full, and more asked of it than they can do.
+fn crowded() -> Net {
+    let mut net = Net::new(3);
+    let door = Door::new(net.now, 1, &given(), 3);
+    net.core.weigh(net.now, door);
+    net.submit(SMALL, "books", 1, 6_000_000);
+    net.flow(100);
+    // Some end and others take their place, so that the door sees how the queue drains.
+    for n in 0..400 {
+        net.submit(SMALL, &format!("task-{n}"), 1, 2_000_000);
+        net.flow(20);
+        if n % 40 == 39 {
+            net.pass(250_000);
+            net.flow(100);
+            let ends: Vec<_> = net.launched.iter().rev().take(2).filter_map(|l| l.id).collect();
+            for id in ends {
+                (0..3).for_each(|m| net.ends(m, (id.epoch, id.number), EndedHow::EndedDone));
+            }
+        }
+    }
+    net
+}
+
+fn at_door(net: &Net) -> Vec<(String, u64)> {
+    let declined = net.heard.iter().filter(|a| a.reason.starts_with("not worth starting"));
+    declined.map(|a| (a.key.clone(), a.ask)).collect()
+}
+
+#[test]
+fn what_is_declined_at_the_door_is_told_at_once_when_to_ask_again_and_why() {
+    let mut net = crowded();
+    let declined = at_door(&net);
+    assert!(!declined.is_empty(), "nothing was declined at the door");
+    for a in net.heard.iter().filter(|a| a.reason.starts_with("not worth starting")) {
+        assert_eq!(a.kind, AnswerKind::Declined as i32);
+        assert!(a.retry_after_us > 0 && !a.not_allowed, "{a:?}");
+        assert!(a.reason.contains("what this planner sees itself"), "{}", a.reason);
+        let launched = net.launched.iter().filter(|l| l.key == a.key && l.ask == a.ask).count();
+        assert_eq!(launched, 0, "{} was launched", a.key);
+    }
+    // The same asking again hears the same, or the door's new word; one that runs is no new one.
+    let before = net.heard.len();
+    net.submit(SMALL, "books", 2, 1);
+    let books = net.heard[before..].iter().find(|a| a.key == "books").expect("an answer");
+    assert_eq!(books.kind, AnswerKind::Placed as i32, "{books:?}");
+    net.pass(20_000_000);
+    net.flow(400);
+    assert_eq!(net.finish().0, []);
+}
+
+#[test]
+fn what_was_withdrawn_or_answered_waits_no_more() {
+    let mut net = crowded();
+    for n in 0..400 {
+        net.withdraw(&format!("task-{n}"), 1);
+    }
+    net.pass(20_000_000);
+    let door = net.core.door();
+    let line = door.map(|d| d.view()).expect("a door");
+    assert_eq!(line["cores_that_wait"], 0.0, "{line}");
+}
--- a/planner/tests/net/mod.rs
+++ b/planner/tests/net/mod.rs
@@ -41,6 +41,8 @@
         window,
         spread: spread.into(),
         most: 2,
+        worth: 1.0,
+        goal: 1_000_000,
     };
     Terms {
         answer_grace: 0,
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -166,6 +166,8 @@
         window: f.time("window").unwrap_or(0),
         spread: f.text("spread").unwrap_or("none").to_owned(),
         most: f.number("most").unwrap_or(1.0) as usize,
+        worth: f.number("value").unwrap_or(1.0),
+        goal: f.time("goal").unwrap_or(0),
     };
     let named = |f: &Settled| (f.text("name").unwrap_or("").to_owned(), framework(f));
     Terms {
