--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -1,6 +1,6 @@
 //! Voters, planners under seats, and spares as processes of their own. Each process reaches the voters
-//! through relays of its own; processes are killed, stopped, woken and told to stop, their links cut. What
-//! each prints says who is seated, so the time that a seat stands without a planner is known from outside.
+//! through relays of its own, and others reach each planner through one; processes are killed, stopped, woken
+//! and told to stop, their links cut. What each prints says who is seated, so the time that a seat stands without a planner is known from outside.
 use crate::day::{Planners, Trouble};
 use crate::drill::How;
 use crate::machine::World;
@@ -13,7 +13,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::Future;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -69,6 +69,8 @@
     /// Of planners: the seat that it last said it has, and under which epoch.
     seat: Cell<Option<(usize, u64)>>,
     ways: Vec<Rc<Ways>>,
+    /// Of planners: the way to it of other planners.
+    between: Rc<Ways>,
     /// Of voters: where it keeps what it voted.
     state: Option<PathBuf>,
 }
@@ -97,6 +99,8 @@
     /// Those that were seated first and the spares; then the voters.
     planners: Vec<Process>,
     voters: Vec<Process>,
+    /// Seats that the others are cut off from, and whether those hear the others all the same.
+    apart: RefCell<Option<(BTreeSet<usize>, bool)>>,
     /// Processes that `kill` ended and `start` brings back, by the seat that was struck.
     dead: RefCell<BTreeMap<usize, usize>>,
     gaps: RefCell<BTreeMap<String, Histogram<u64>>>,
@@ -148,11 +152,12 @@
         let (count, voters) = (front.borrow().len(), number("voters"));
         let zones = how.installation.names("zones");
         let at = addresses(voters)?;
+        let listens = addresses(count + number("spares"))?;
         let mut files: Vec<String> = how.files.iter().map(|f| f.display().to_string()).collect();
         let mut all = Vec::new();
         for n in 0..voters + count + number("spares") {
             let name = if n < voters { format!("voter-{n}") } else { format!("process-{}", n - voters) };
-            let (mut ways, mut through) = (Vec::new(), Vec::new());
+            let (mut ways, mut through, between) = (Vec::new(), Vec::new(), Rc::new(Ways::default()));
             for (v, address) in at.iter().enumerate() {
                 let way = Rc::new(Ways::default());
                 let itself = n == v;
@@ -175,7 +180,9 @@
                 let zone = &zones[n % zones.len()];
                 let more = [&file, "--seat", "any", "--zone", zone, "--register", register];
                 args.extend(more.map(str::to_owned));
-                args.extend(["--listen", "127.0.0.1:0"].map(str::to_owned));
+                let listens = &listens[n - voters];
+                let reached = relay::start(listens.clone(), between.clone()).await?;
+                args.extend(["--listen", listens, "--advertise", &reached].map(str::to_owned));
                 if let Some(folder) = &how.record {
                     args.extend(["--record".to_owned(), folder.join(&name).display().to_string()]);
                 }
@@ -183,7 +190,7 @@
             args.extend(["-o", "json"].map(str::to_owned));
             let (child, pid, ends, seat) =
                 (RefCell::default(), Cell::default(), Cell::default(), Cell::default());
-            all.push(Process { name, args, child, pid, ends, seat, ways, state });
+            all.push(Process { name, args, child, pid, ends, seat, ways, between, state });
         }
         files.push(council_file(folder, "operators", seats, &at)?.display().to_string());
         let planners = all.split_off(voters);
@@ -198,6 +205,7 @@
             seats: (0..count).map(|_| Seat::default()).collect(),
             planners,
             voters: all,
+            apart: RefCell::default(),
             dead: RefCell::default(),
             gaps: RefCell::default(),
             faults: RefCell::default(),
@@ -264,6 +272,8 @@
         seat.epoch.set(line.epoch);
         seat.holder.set(Some(planner));
         self.planners[planner].seat.set(Some((n, line.epoch)));
+        // Seats stay on their side of a cut, whichever process has them.
+        self.cut_between();
         self.front.borrow_mut()[n] = line.listening;
     }
 
@@ -433,6 +443,34 @@
         }
     }
 
+    /// The ways between planners, as seats are apart now: those apart are heard by nobody else, and hear
+    /// nobody, or do. Voters and machines are reached by all.
+    fn cut_between(&self) {
+        let apart = self.apart.borrow();
+        for process in &self.planners {
+            let mut cut = process.between.cut_of.borrow_mut();
+            cut.clear();
+            let (Some((apart, hear)), Some((seat, _))) = (&*apart, process.seat.get()) else { continue };
+            for other in (0..self.seats.len()).filter(|o| apart.contains(o) != apart.contains(&seat)) {
+                // Who dials is apart, or who is dialled: what those say is cut, and what they hear unless they do.
+                let cuts = if apart.contains(&other) { (true, !hear) } else { (!hear, true) };
+                cut.insert(format!("planner-{other}"), cuts);
+            }
+        }
+    }
+
+    /// A drawn part of the seats is cut off from the other planners for a while.
+    async fn set_apart(&self, t: &Trouble, chance: &mut StdRng, hear: bool) {
+        let mut all: Vec<usize> = (0..self.seats.len()).collect();
+        all.shuffle(chance);
+        all.truncate(((t.part * all.len() as f64).ceil() as usize).max(1));
+        *self.apart.borrow_mut() = Some((all.into_iter().collect(), hear));
+        self.cut_between();
+        tokio::time::sleep(Duration::from_micros(t.for_us as u64)).await;
+        *self.apart.borrow_mut() = None;
+        self.cut_between();
+    }
+
     /// A part of all processes dies at once, voters among them, and is back after the trouble's time.
     async fn kill_many(&self, t: &Trouble, chance: &mut StdRng) {
         let planners = self.planners.iter().enumerate().map(|(p, x)| (x, Some(p)));
@@ -572,6 +610,14 @@
                     tokio::time::sleep(last).await;
                     self.all_ways().for_each(|w| w.late.set(Duration::ZERO));
                 }
+                "planners_apart" => self.set_apart(t, chance, false).await,
+                "planners_mute" => self.set_apart(t, chance, true).await,
+                "planners_late" => {
+                    let late = |d| self.planners.iter().for_each(|p| p.between.late.set(d));
+                    late(Duration::from_secs_f64(t.size));
+                    tokio::time::sleep(last).await;
+                    late(Duration::ZERO);
+                }
                 "votes_reset" => self.all_ways().for_each(|w| w.resets.set(w.resets.get() + 1)),
                 _ => return false,
             }
