A lost hall is said to be lost by who conducts, and returns by steps at all planners

Need: a hall that went was a hundred single silences to each planner, and one that came back drew everybody at once. Change: planner/src/halls.rs. The duty halls beside a seat: who has it hears what all planners see of each hall (machines that answer, launches, refusals, where the planner stands), writes the word as the duty's note, and once a majority keeps it tells it with its summary; every planner passes on the newest word that it knows. Machines of a lost hall are held back, those of a returning one but for a tenth, three tenths, six tenths by rank of their names, the same at all planners. basaltpitch planner shows word, evidence, and where a hall's load would go. Machines off the list are held, too. The word comes to planners a second or two apart.

--- a/audit/src/lib.rs
+++ b/audit/src/lib.rs
@@ -138,6 +138,9 @@
 
 type AskId = (Life, String, u64);
 
+/// Of a hall that returns, until so long after it was back: the part of its machines that are launched on.
+const RETURN: [(i64, f64); 4] = [(2_000_000, 0.0), (5_000_000, 0.1), (8_000_000, 0.3), (11_000_000, 0.6)];
+
 /// One that must be with others counts those that stood so long ago.
 const STOOD_JUST_NOW: i64 = 2_000_000;
 
@@ -160,6 +163,8 @@
     stopped: HashSet<Life>,
     /// By planner's name and machine: the highest epoch that the machine was greeted with, and when first.
     greeted: HashMap<(String, String), (u64, i64)>,
+    /// By zone that all planners said to be lost: when it came back, and the machines launched on since.
+    returns: HashMap<String, (i64, HashSet<String>)>,
     /// The roll that was begun, if any.
     roll: Option<Roll>,
     /// By planner's name: the highest epoch under which anything was launched, and when first.
@@ -190,6 +195,7 @@
             killed: HashMap::new(),
             stopped: HashSet::new(),
             greeted: HashMap::new(),
+            returns: HashMap::new(),
             roll: None,
             acted: HashMap::new(),
             successions: Vec::new(),
@@ -262,6 +268,11 @@
         self.breach(4, at, &life, machine, "the cold machine fell over".into());
     }
 
+    /// The machines of a zone are back, after all planners had said that it is lost.
+    pub fn hall_back(&mut self, at: i64, zone: &str) {
+        self.returns.insert(zone.to_owned(), (at, HashSet::new()));
+    }
+
     /// Operators begin a roll of a zone's machines.
     pub fn roll_begins(&mut self, at: i64, at_once: usize, zone: &str) {
         let of_zone = self.spots.iter().filter(|(_, spot)| spot.zone == zone);
@@ -519,6 +530,7 @@
         self.tasks.insert((life.clone(), id.number), l.clone());
         self.judge_drain(at, machine, life, l, late);
         self.judge_cold(at, machine, life);
+        self.judge_return(at, machine, life);
         self.judge_spread(at, machine, life, l);
         self.judge_laws(at, machine, life, l);
         let all = self.launches.entry(ask.clone()).or_default();
@@ -604,6 +616,26 @@
         }
     }
 
+    /// Rule 10: launches go to no more of a returned hall's machines than its step allows. How far the return
+    /// is at the most follows from when the hall came back; it may be slower.
+    fn judge_return(&mut self, at: i64, machine: &str, life: &Life) {
+        let Some(zone) = self.spots.get(machine).map(|s| s.zone.clone()) else { return };
+        let Some((back, seen)) = self.returns.get_mut(&zone) else { return };
+        let Some((_, part)) = RETURN.iter().find(|(until, _)| at < *back + until - self.terms.slack) else {
+            return;
+        };
+        seen.insert(machine.to_owned());
+        let (of, there) = (self.spots.values().filter(|s| s.zone == zone).count(), seen.len());
+        let most = (part * of as f64).ceil() as usize;
+        if there > most {
+            let after = (at - *back) / 1000;
+            let what = format!(
+                "launches on {there} machines of {zone} {after} ms after it was back; at most {most}"
+            );
+            self.breach(10, at, life, machine, what);
+        }
+    }
+
     /// Rule 5: this planner's tasks of a service in one place, this launch included.
     fn judge_spread(&mut self, at: i64, machine: &str, life: &Life, l: &Launch) {
         let Some(f) = self.terms.frameworks.get(&l.framework).filter(|f| f.spread != "none") else { return };
--- a/audit/tests/forged.rs
+++ b/audit/tests/forged.rs
@@ -343,6 +343,26 @@
     }
 }
 
+#[test]
+fn rule_10_a_returned_hall_is_launched_on_step_by_step() {
+    // Of the two machines of zone a: none at first, then one, then both.
+    for (at, machines, want) in [
+        (S, vec!["m0"], vec![10]),
+        (3 * S, vec!["m0"], vec![]),
+        (3 * S, vec!["m0", "m2"], vec![10]),
+        (9 * S, vec!["m0", "m2"], vec![]),
+        (S, vec!["m1"], vec![]),
+    ] {
+        let mut a = auditor();
+        a.hall_back(0, "a");
+        for (n, machine) in machines.iter().enumerate() {
+            launch(&mut a, at, "small", n as u64, machine);
+            refused(&mut a, at, n as u64, machine);
+        }
+        assert_eq!(broken(a), want, "{machines:?} at {at}");
+    }
+}
+
 #[test]
 fn rule_11_nothing_of_less_worth_is_placed_while_more_worth_is_declined() {
     // By the time between askings, and what becomes of the dear ones: all declined, or one of them placed.
--- a/cli/src/drill.rs
+++ b/cli/src/drill.rs
@@ -91,6 +91,9 @@
         let word = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
         text += &format!("rule {} {rule:26}{word}\n", i + 1);
     }
+    let broken = v.breaches.iter().filter(|b| b.rule == 10).count();
+    let word = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
+    text += &format!("rule 10 {:25}{word}\n", "a hall returns by steps");
     let broken = v.breaches.iter().filter(|b| b.rule == 11).count();
     let word = if broken == 0 { "kept".to_owned() } else { format!("BROKEN {broken} times") };
     text += &format!("rule 11 {:25}{word}\n", "worth more goes first");
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -6,6 +6,7 @@
 use basaltpitch_agent::wire::Role;
 use basaltpitch_planner::core::Who;
 use basaltpitch_planner::council::{self, Tenure, Wish, Word};
+use basaltpitch_planner::halls;
 use basaltpitch_planner::peers::Meeting;
 use basaltpitch_planner::roll::{self, Duties};
 use basaltpitch_planner::service::{self, Start};
@@ -129,7 +130,8 @@
                 let name = format!("process-{}", std::process::id());
                 let me = Party { role: Role::Planner, name, epoch: started, link: 0, login: String::new() };
                 let seed = self.seed.unwrap_or(started);
-                let (duties, follows) = (vec![roll::DUTY.into()], vec![roll::WISH.into()]);
+                let (duties, follows) =
+                    (vec![roll::DUTY.into(), halls::DUTY.into()], vec![roll::WISH.into()]);
                 let peers = Some(SEATS.into());
                 let start = council::Start {
                     terms,
@@ -267,12 +269,14 @@
         let halls = installation.names("zones");
         // By its own askings alone, it tells the others all the same.
         let alone = installation.all.text("admission") == Some("own");
+        let stands = halls.iter().position(|h| *h == self.zone).unwrap_or(0);
         let meets = |under: Under| {
             // All addresses of a machine are no address that another could dial.
             let listens = Some(at.to_string()).filter(|_| !at.ip().is_unspecified());
             let address = self.advertise.clone().or(listens);
             let (tenure, wishes) = (under.tenure.clone(), under.duties.wishes.clone());
-            let meeting = Meeting { seats: under.seats, me: number, address, halls, alone, tenure, wishes };
+            let meeting =
+                Meeting { seats: under.seats, me: number, address, halls, stands, alone, tenure, wishes };
             (Some(under.tenure), Some(under.duties), Some(meeting))
         };
         let (tenure, duties, meeting) = under.map_or((None, None, None), meets);
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -25,7 +25,7 @@
     fn wrong(&self) -> Option<(String, String, String)>;
 }
 
-/// Figures, at most so many of them: 1 KiB on the wire.
+/// Figures, at most so many of them: 2 KiB on the wire.
 pub const MOST_FIGURES: usize = 256;
 
 impl Carried for Rc<[f64]> {
--- a/halls/tests/every_state.rs
+++ b/halls/tests/every_state.rs
@@ -167,7 +167,8 @@
         32.0 s Returning(1), flaps 1, back 1
         38.0 s Returning(2), flaps 1, back 1
         44.0 s Well, flaps 1, back 1
-    "#]].assert_eq(&log);
+    "#]]
+    .assert_eq(&log);
 }
 
 #[test]
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -15,6 +15,7 @@
 use basaltpitch_agent::wire::{self, Body};
 use basaltpitch_clauses::deciding::State;
 use basaltpitch_clauses::{Clause, Machine as Place, Task as Facts};
+use basaltpitch_halls::Stage;
 use basaltpitch_indices::{number_of, Lodgers};
 use basaltpitch_ledger::{
     Act, Answer, Asking, CopyState, Ending, Held, Kind, Launch, Ledger, Life, Phase, Promises, Reason,
@@ -117,6 +118,8 @@
     probes: BTreeMap<u64, usize>,
     probed: u64,
     connect_us: i64,
+    /// By hall: launches, and launches refused or failed, since the start.
+    hall_counts: Vec<[u64; 2]>,
     /// A report that came with the frame being handled.
     report: Vec<f64>,
     out: VecDeque<Out>,
@@ -217,6 +220,7 @@
             probes: BTreeMap::new(),
             probed: 0,
             connect_us,
+            hall_counts: Vec::new(),
             report: Vec::new(),
             out: VecDeque::new(),
             counts: Counts::default(),
@@ -698,6 +702,46 @@
         self.settle();
     }
 
+    // Halls.
+
+    /// Machines of halls that are not well are held back, those of a returning one but for the ones whose turn
+    /// it is. Which those are hangs on their names alone, so that all planners offer work to the same.
+    pub fn hold_halls(&mut self, now: i64, stages: &[Stage]) {
+        self.set_clock(now);
+        let mut by_hall: Vec<Vec<(bool, u64, usize)>> = vec![Vec::new(); stages.len()];
+        for (m, known) in self.known.iter().enumerate() {
+            let Some(standing) = known.as_ref().map(|x| &x.standing) else { continue };
+            if let Some(hall) = by_hall.get_mut(standing.place.1) {
+                // Those off the list have the last ranks: one that comes back to it is held until its turn.
+                hall.push((!standing.is_wanted(), number_of(self.machines.door.id(m)), m));
+            }
+        }
+        for (stage, mut machines) in stages.iter().zip(by_hall) {
+            machines.sort_unstable();
+            let of = machines.iter().filter(|m| !m.0).count();
+            for (rank, (gone, _, m)) in machines.into_iter().enumerate() {
+                let holds = if gone { *stage != Stage::Well } else { !stage.offers(rank, of) };
+                let standing = &mut self.known[m].as_mut().expect("just seen").standing;
+                if std::mem::replace(&mut standing.held_back, holds) != holds {
+                    self.stands_anew(m);
+                }
+            }
+        }
+    }
+
+    fn count_at(&mut self, m: usize, which: usize) {
+        let Some(hall) = self.known[m].as_ref().map(|x| x.standing.place.1) else { return };
+        if hall >= self.hall_counts.len() {
+            self.hall_counts.resize(hall + 1, [0; 2]);
+        }
+        self.hall_counts[hall][which] += 1;
+    }
+
+    /// Of a hall: launches, and launches refused or failed, since the start.
+    pub(crate) fn hall_counts(&self, hall: usize) -> [u64; 2] {
+        self.hall_counts.get(hall).copied().unwrap_or_default()
+    }
+
     // Machines.
 
     /// The number of the link that a machine is reached by.
@@ -788,11 +832,13 @@
             Body::Refused(x) => {
                 let launch = id(x.id)?;
                 report(x.report);
+                self.count_at(m, 1);
                 self.placing.host.on_ledger(|l, acts| l.refused(launch, i64::from(x.why), acts));
             }
             Body::Failed(x) => {
                 let launch = id(x.id)?;
                 report(x.report);
+                self.count_at(m, 1);
                 self.placing.host.on_ledger(|l, acts| l.failed(launch, m, acts));
             }
             Body::Ended(x) => {
@@ -1132,6 +1178,7 @@
 
     fn launch(&mut self, key: Key, launch: Launch, machine: usize, time_out_us: i64) {
         self.counts.launched += 1;
+        self.count_at(machine, 0);
         let now = self.now();
         let link = self.known[machine].as_ref().map(|x| x.standing.link);
         let record = self.placing.host.ledger.record(&key);
--- /dev/null
+++ b/planner/src/halls.rs
@@ -0,0 +1,219 @@
+//! A planner's part in what becomes of halls: what it sees goes to whoever conducts, the conductor's word comes
+//! back with what planners tell each other, and machines of a hall that is not well are held back by it.
+//! Decides nothing itself: `basaltpitch_halls` does.
+use crate::council::{Duty, Tenure, Wish};
+use basaltpitch_halls::{evidence, plan, Call, Conductor, Evidence, Load, Opinion, Pace, Stage, View, Word};
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tokio::sync::mpsc;
+
+/// The duty of who conducts; its note is the last word.
+pub const DUTY: &str = "halls";
+/// Launches lately that are too few to say how they go, and the part of refused and failed ones that is too
+/// many.
+const FEW: f64 = 3.0;
+const TOO_MANY: f64 = 0.5;
+
+/// What one planner says of a hall: machines listed, ready, cores of those, cores used at confidence; machines
+/// that answer, whether they are held back or not; launches lately, and those refused or failed.
+pub type OfHall = [f64; 7];
+
+/// The note.
+#[derive(Serialize, Deserialize)]
+struct Noted {
+    number: u64,
+    word: Word,
+}
+
+/// The word that counts, as this planner knows it: under which token, and its number there.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Known {
+    token: u64,
+    number: u64,
+    stages: Vec<Stage>,
+}
+
+struct Conducting {
+    token: u64,
+    tenure: Tenure,
+    number: u64,
+    conductor: Conductor,
+}
+
+pub struct Halls {
+    names: Vec<String>,
+    wishes: mpsc::Sender<Wish>,
+    known: Known,
+    conducting: Option<Conducting>,
+    /// Of each hall, as all that are heard see it.
+    evidence: Vec<Evidence>,
+    /// Cores used at confidence and cores of machines that are ready, as the middle of all believes.
+    used: Vec<f64>,
+    cores: Vec<f64>,
+}
+
+fn middle(mut all: Vec<f64>) -> f64 {
+    all.sort_by(f64::total_cmp);
+    all.get(all.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
+}
+
+/// A stage as a figure, and back.
+fn code(stage: Stage) -> f64 {
+    match stage {
+        Stage::Well => 0.0,
+        Stage::Lost => 1.0,
+        Stage::Returning(step) => 2.0 + step as f64,
+    }
+}
+
+fn stage(code: f64) -> Stage {
+    match code as usize {
+        0 => Stage::Well,
+        1 => Stage::Lost,
+        step => Stage::Returning(step - 2),
+    }
+}
+
+fn words(stage: Stage) -> String {
+    match stage {
+        Stage::Well => "well".into(),
+        Stage::Lost => "lost".into(),
+        Stage::Returning(step) => format!("returning, step {}", step + 1),
+    }
+}
+
+impl Halls {
+    pub fn new(names: Vec<String>, wishes: mpsc::Sender<Wish>) -> Self {
+        let known = Known { stages: vec![Stage::Well; names.len()], ..Known::default() };
+        let (evidence, used) = (vec![Evidence::CutOff; names.len()], vec![0.0; names.len()]);
+        Halls { names, wishes, known, conducting: None, evidence, cores: used.clone(), used }
+    }
+
+    /// A word of the council about the duty.
+    pub fn hear(&mut self, now: i64, word: Duty) {
+        match (word, &mut self.conducting) {
+            (Duty::Won { token, note, tenure, .. }, _) => {
+                let left = match note.is_empty() {
+                    true => None,
+                    false => match serde_json::from_slice::<Noted>(&note) {
+                        Ok(left) => Some(left.word),
+                        Err(e) => {
+                            tracing::error!(error = %e, "what the last conductor of halls left makes no sense");
+                            None
+                        }
+                    },
+                };
+                let conductor = Conductor::won(now, Pace::USUAL, self.names.len(), left);
+                let stages = conductor.word().halls.iter().map(|h| h.stage).collect();
+                self.conducting = Some(Conducting { token, tenure, number: 1, conductor });
+                self.told(token, 1, stages);
+            }
+            (Duty::Lost { .. }, _) => self.conducting = None,
+            (Duty::Recorded { .. }, Some(c)) => {
+                c.conductor.recorded(now);
+                c.number += 1;
+                let (token, number) = (c.token, c.number);
+                let stages = c.conductor.word().halls.iter().map(|h| h.stage).collect();
+                self.told(token, number, stages);
+            }
+            _ => {}
+        }
+    }
+
+    /// The word that another goes by, or this planner's own: the newest counts.
+    fn told(&mut self, token: u64, number: u64, stages: Vec<Stage>) {
+        if (token, number) <= (self.known.token, self.known.number) || stages.len() != self.names.len() {
+            return;
+        }
+        for (name, (before, after)) in self.names.iter().zip(self.known.stages.iter().zip(&stages)) {
+            if before != after {
+                tracing::warn!(
+                    hall = name,
+                    state = words(*after),
+                    was = words(*before),
+                    "the word on a hall"
+                );
+            }
+        }
+        self.known = Known { token, number, stages };
+    }
+
+    /// What this planner tells of the word: token, number, and a figure for each hall.
+    pub fn says(&self) -> (f64, f64, Vec<f64>) {
+        let known = &self.known;
+        (known.token as f64, known.number as f64, known.stages.iter().map(|s| code(*s)).collect())
+    }
+
+    /// Another planner's word, as `says` told it.
+    pub fn said(&mut self, token: f64, number: f64, codes: impl Iterator<Item = f64>) {
+        if token >= 1.0 && number >= 1.0 {
+            self.told(token as u64, number as u64, codes.map(stage).collect());
+        }
+    }
+
+    /// What all that are heard see, of so many seats: where each stands, and of each hall its figures.
+    pub fn see(&mut self, now: i64, seats: usize, all: &[(usize, Vec<OfHall>)]) {
+        for hall in 0..self.names.len() {
+            let of = || all.iter().filter_map(|(stands, halls)| Some((*stands, halls.get(hall)?)));
+            let views: Vec<View> =
+                of().map(|(stands, h)| View { stands, opinion: Opinion::of(h[0], h[4]) }).collect();
+            self.evidence[hall] = evidence(hall, seats, &views);
+            let sees = || of().filter(|(_, h)| h[1] > 0.0);
+            self.cores[hall] = middle(sees().map(|(_, h)| h[2]).collect());
+            self.used[hall] = middle(sees().map(|(_, h)| h[3]).collect());
+            let (launched, wrong) = of().fold((0.0, 0.0), |s, (_, h)| (s.0 + h[5], s.1 + h[6]));
+            if let Some(c) = &mut self.conducting {
+                c.conductor.seen(now, hall, self.evidence[hall]);
+                c.conductor.goes(hall, launched >= FEW && wrong > TOO_MANY * launched);
+            }
+        }
+        let Some(c) = self.conducting.as_mut().filter(|c| c.tenure.holds()) else { return };
+        c.conductor.clock(now);
+        while let Some(Call::Write(word)) = c.conductor.next_call() {
+            let noted = Noted { number: c.number + 1, word };
+            let text = serde_json::to_vec(&noted).expect("plain figures");
+            let write = Wish::Write { duty: DUTY.into(), token: c.token, text };
+            if self.wishes.try_send(write).is_err() {
+                // Who cannot write does not conduct on what is not kept: its successor does.
+                tracing::error!("the council takes no word on halls");
+                self.conducting = None;
+                return;
+            }
+        }
+    }
+
+    /// Where each hall is by the word that counts.
+    pub fn stages(&self) -> &[Stage] {
+        &self.known.stages
+    }
+
+    /// What operators see of each hall: the word, the evidence, and what would become of its load.
+    pub fn view(&self) -> Value {
+        let room: Vec<f64> = self.cores.iter().zip(&self.used).map(|(cores, used)| cores - used).collect();
+        let rounded = |x: f64| (x * 10.0).round() / 10.0;
+        let row = |(n, name): (usize, &String)| {
+            let load = [Load { worth: 1.0, cores: self.used[n], bound: false }];
+            let plan = plan(n, &load, &room);
+            let to = self.names.iter().zip(&plan.to).filter(|x| *x.1 > 0.0);
+            let to: serde_json::Map<String, Value> =
+                to.map(|(name, cores)| (name.clone(), json!(rounded(*cores)))).collect();
+            let evidence = match self.evidence[n] {
+                Evidence::Well => "well",
+                Evidence::Gone => "gone",
+                Evidence::Apart => "cut off, and lives",
+                Evidence::Split => "some see it, some do not",
+                Evidence::CutOff => "too few planners are heard",
+            };
+            let stage = self.known.stages[n];
+            (
+                name.clone(),
+                json!({
+                    "state": words(stage), "offers": stage.part(), "evidence": evidence,
+                    "cores_used": rounded(self.used[n]), "if_lost_to": to, "if_lost_lacks": rounded(plan.lacks),
+                }),
+            )
+        };
+        let halls: serde_json::Map<String, Value> = self.names.iter().enumerate().map(row).collect();
+        json!({"conducts": self.conducting.is_some(), "halls": halls})
+    }
+}
--- a/planner/src/lib.rs
+++ b/planner/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod core;
 pub mod council;
 pub mod door;
+pub mod halls;
 pub mod hands;
 pub mod peers;
 pub mod recording;
--- a/planner/src/peers.rs
+++ b/planner/src/peers.rs
@@ -2,7 +2,8 @@
 //! sockets, and the decisions of `basaltpitch_exchange`. What is heard goes in; frames, links to dial and
 //! links to end come out.
 use crate::core::Core;
-use crate::council::{Tenure, Wish};
+use crate::council::{Duty, Tenure, Wish};
+use crate::halls::{Halls, OfHall};
 use basaltpitch::host::Readiness;
 use basaltpitch_agent::link::Order;
 use basaltpitch_agent::session::Party;
@@ -18,10 +19,15 @@
 const PUBLISHES: i64 = 1_000_000;
 /// Links that this side dials are numbered from here; the others have the numbers of their connections.
 const DIALLED: u64 = 1 << 63;
-/// Figures before those of halls, and of each hall.
+/// Figures: counts; the hall in which the planner stands; token and number of the word on halls that it goes
+/// by; what it shares of its askings; and of each hall its figures, and the word.
 const COUNTS: [&str; 4] = ["open", "placed", "declined", "aborted"];
-const HALLS_AT: usize = COUNTS.len() + Share::FIGURES;
-const OF_HALL: [&str; 4] = ["machines", "ready", "cores", "used"];
+const STANDS_AT: usize = COUNTS.len();
+const SHARE_AT: usize = STANDS_AT + 3;
+const HALLS_AT: usize = SHARE_AT + Share::FIGURES;
+const OF_HALL: [&str; 8] = ["machines", "ready", "cores", "used", "answer", "launched", "refused", "word"];
+/// What was counted of a hall fades by this part each time it is said.
+const FADES: f64 = 0.7;
 
 /// What a planner under a seat needs to meet the others.
 pub struct Meeting {
@@ -31,6 +37,8 @@
     /// Where others reach it.
     pub address: Option<String>,
     pub halls: Vec<String>,
+    /// The hall in which it stands.
+    pub stands: usize,
     /// What others say is not weighed in what is declined here.
     pub alone: bool,
     pub tenure: Tenure,
@@ -47,6 +55,9 @@
     dialled: HashMap<u64, usize>,
     links: u64,
     publishes_at: i64,
+    halls: Halls,
+    /// By hall: launches, and those refused or failed, as they were counted last and as they fade.
+    counted: Vec<([u64; 2], [f64; 2])>,
     /// Whom what is wrong was said of, and when: it is said again after a while.
     said: BTreeMap<usize, i64>,
 }
@@ -62,7 +73,15 @@
             }
         }
         let (orders, dialled, said) = (HashMap::new(), HashMap::new(), BTreeMap::new());
-        Peers { meeting, exchange, orders, dialled, links: DIALLED, publishes_at: now, said }
+        let halls = Halls::new(meeting.halls.clone(), meeting.wishes.clone());
+        let counted = vec![Default::default(); meeting.halls.len()];
+        let (links, publishes_at) = (DIALLED, now);
+        Peers { meeting, exchange, orders, dialled, links, publishes_at, halls, counted, said }
+    }
+
+    /// A word of the council on the duty of who conducts halls.
+    pub fn conducts(&mut self, now: i64, word: Duty) {
+        self.halls.hear(now, word);
     }
 
     /// The time at which `clock` has something to do.
@@ -74,6 +93,8 @@
     pub fn clock(&mut self, now: i64, core: &mut Core) {
         if now >= self.publishes_at {
             self.publishes_at = now + PUBLISHES;
+            self.fade(core);
+            self.see_halls(now, core);
             if self.meeting.tenure.holds() {
                 if let Err(e) = self.exchange.publish(now, self.share(now, core)) {
                     tracing::error!(error = %e, "what this planner would say of itself cannot be true");
@@ -85,7 +106,7 @@
             let others = (0..self.exchange.seats()).filter(|seat| *seat != self.meeting.me);
             let fresh = |seat| {
                 let (age, figures) = self.exchange.heard(now, seat).fresh()?;
-                Some((age, Share::read(figures.get(COUNTS.len()..)?)?))
+                Some((age, Share::read(figures.get(SHARE_AT..)?)?))
             };
             door.hear(now, others.filter_map(fresh));
         }
@@ -97,23 +118,64 @@
         let counts = core.counts;
         let mut all =
             vec![core.open() as f64, counts.placed as f64, counts.declined as f64, counts.aborted as f64];
+        let (token, number, codes) = self.halls.says();
+        all.extend([self.meeting.stands as f64, token, number]);
         all.extend(core.door.as_mut().map(|door| door.share(now)).unwrap_or_default().figures());
         let halls = self.meeting.halls.len().min((MOST_FIGURES - HALLS_AT) / OF_HALL.len());
         all.resize(HALLS_AT + halls * OF_HALL.len(), 0.0);
-        for (_, standing, belief) in core.machines() {
-            let hall = standing.place.1;
-            if hall >= halls {
-                continue;
+        let of_halls = self.of_halls(core);
+        for (hall, (of, code)) in of_halls.iter().zip(codes).take(halls).enumerate() {
+            let to = &mut all[HALLS_AT + hall * OF_HALL.len()..];
+            to[..of.len()].copy_from_slice(of);
+            to[of.len()] = code;
+        }
+        all.into()
+    }
+
+    fn fade(&mut self, core: &Core) {
+        for (hall, (last, fading)) in self.counted.iter_mut().enumerate() {
+            let now = core.hall_counts(hall);
+            for i in 0..2 {
+                fading[i] = fading[i] * FADES + (now[i] - last[i]) as f64;
             }
-            let of = &mut all[HALLS_AT + hall * OF_HALL.len()..];
+            *last = now;
+        }
+    }
+
+    /// What this planner itself sees of each hall.
+    fn of_halls(&self, core: &Core) -> Vec<OfHall> {
+        let mut all: Vec<OfHall> =
+            self.counted.iter().map(|c| [0.0, 0.0, 0.0, 0.0, 0.0, c.1[0], c.1[1]]).collect();
+        for (_, standing, belief) in core.machines() {
+            let Some(of) = all.get_mut(standing.place.1) else { continue };
             of[0] += 1.0;
+            of[4] += f64::from(standing.answers());
             if standing.readiness() == Readiness::Ready {
                 of[1] += 1.0;
                 of[2] += belief.cores;
                 of[3] += belief.ucac;
             }
         }
-        all.into()
+        all
+    }
+
+    /// What all that are heard say of halls; machines are held back by the word that counts.
+    fn see_halls(&mut self, now: i64, core: &mut Core) {
+        let count = self.meeting.halls.len();
+        let mut all = vec![(self.meeting.stands, self.of_halls(core))];
+        for seat in (0..self.exchange.seats()).filter(|seat| *seat != self.meeting.me) {
+            let Some((_, figures)) = self.exchange.heard(now, seat).fresh() else { continue };
+            // Files that differ: what it says of halls is not of these.
+            if figures.len() != HALLS_AT + count * OF_HALL.len() {
+                continue;
+            }
+            let of = figures[HALLS_AT..].chunks_exact(OF_HALL.len());
+            self.halls.said(figures[STANDS_AT + 1], figures[STANDS_AT + 2], of.clone().map(|h| h[7]));
+            let of = of.map(|h| [h[0], h[1], h[2], h[3], h[4], h[5], h[6]]).collect();
+            all.push((figures[STANDS_AT] as usize, of));
+        }
+        self.halls.see(now, self.exchange.seats(), &all);
+        core.hold_halls(now, self.halls.stages());
     }
 
     /// The council tells who has a seat.
@@ -152,7 +214,7 @@
             }
             Body::Summaries(s) => {
                 let told = |s: wire::Summary| {
-                    let (seat, carried) = (s.seat as usize, s.figures.into_iter().map(f64::from).collect());
+                    let (seat, carried) = (s.seat as usize, s.figures.into());
                     Told { seat, token: s.token, number: s.number, age: s.age_us, carried }
                 };
                 let wrong = self.exchange.answered(now, link, s.question, s.all.into_iter().map(told));
@@ -209,7 +271,7 @@
                 }
                 Call::Answer { link, question, all } => {
                     let summary = |t: Told<Rc<[f64]>>| {
-                        let (seat, figures) = (t.seat as u32, t.carried.iter().map(|x| *x as f32).collect());
+                        let (seat, figures) = (t.seat as u32, t.carried.to_vec());
                         wire::Summary { seat, token: t.token, number: t.number, age_us: t.age, figures }
                     };
                     let all = all.into_iter().map(summary).collect();
@@ -257,6 +319,7 @@
             })
         };
         json!({
+            "halls": self.halls.view(),
             "links": self.exchange.linked_to().map(|s| &*self.meeting.seats[s]).collect::<Vec<&str>>(),
             "seats": (0..self.exchange.seats()).map(row).collect::<Vec<Value>>(),
         })
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -4,6 +4,7 @@
 use crate::core::{Core, Out, Who, REGISTER};
 use crate::council::{Duty, Tenure};
 use crate::door::Door;
+use crate::halls;
 use crate::peers::{Meeting, Peers};
 use crate::roll::{Duties, Rolls};
 use crate::tenancy::{Learnt, Task, Ways};
@@ -368,7 +369,12 @@
 
     fn hear_council(&mut self, word: Duty) {
         let now = self.clock.now();
+        let of_halls = match &word {
+            Duty::Won { duty, .. } | Duty::Lost { duty } | Duty::Recorded { duty } => **duty == *halls::DUTY,
+            _ => false,
+        };
         match (word, &mut self.peers, &mut self.rolls) {
+            (word, Some(peers), _) if of_halls => peers.conducts(now, word),
             (Duty::Seats(seats), Some(peers), _) => {
                 for (seat, token, note) in seats {
                     let address = note.as_deref().and_then(|note| std::str::from_utf8(note).ok());
--- a/planner/src/standing.rs
+++ b/planner/src/standing.rs
@@ -43,6 +43,8 @@
     /// The machine's own word that it drains, until it starts anew or takes it back.
     pub drains: bool,
     pub link: Link,
+    /// Its hall is lost, or returns and it is not among those that are offered work yet.
+    pub held_back: bool,
     /// The newest start that anyone told of, 0 where nobody did.
     pub started: i64,
     pub place: Place,
@@ -52,12 +54,17 @@
 }
 
 impl Standing {
+    /// It could be offered work, but for what is said of its hall.
+    pub fn answers(&self) -> bool {
+        self.listed == Some(Readiness::Ready) && !self.drains && self.link == Link::Well
+    }
+
     /// What the placing module is told of it.
     pub fn readiness(&self) -> Readiness {
         match self.listed {
             None | Some(Readiness::Gone) => Readiness::Gone,
             Some(Readiness::Draining) => Readiness::Draining,
-            Some(Readiness::Ready) if self.drains || self.link != Link::Well => Readiness::Draining,
+            Some(Readiness::Ready) if !self.answers() || self.held_back => Readiness::Draining,
             Some(Readiness::Ready) => Readiness::Ready,
         }
     }
--- a/records/tests/records.rs
+++ b/records/tests/records.rs
@@ -42,17 +42,17 @@
 fn types_bounds_and_closed_records() {
     expect![[r#"
         b.rec:1:14: rules.cold: found "soon"; expected 14s or a time such as 600ms at least 0s
-          built-in types:167:16: this is what it was to be unified with
+          built-in types:170:16: this is what it was to be unified with
     "#]]
     .assert_eq(&with("rules: cold: \"soon\""));
     expect![[r#"
         b.rec:1:17: launches.most: found 40; expected 3 or a whole number at least 1 and at most 16
-          built-in types:174:12: this is what it was to be unified with
+          built-in types:177:12: this is what it was to be unified with
     "#]]
     .assert_eq(&with("launches: most: 40"));
     expect![[r#"
         b.rec:1:14: found field rules.cald; expected one of drain_grace, answer_grace, cold, cold_offers, cold_window, settle
-          built-in types:161:9: the record is closed here
+          built-in types:164:9: the record is closed here
     "#]]
     .assert_eq(&with("rules: cald: 3s"));
 }
--- a/standins/src/day.rs
+++ b/standins/src/day.rs
@@ -60,6 +60,11 @@
     fn zone(&self, planner: usize) -> String;
     fn kill(&self, planner: usize) -> Pin<Box<dyn Future<Output = ()> + '_>>;
     fn start(&self, planner: usize) -> Pin<Box<dyn Future<Output = ()> + '_>>;
+    /// Whether all planners say that this zone is lost.
+    fn say_lost<'a>(&'a self, _zone: &'a str) -> Pin<Box<dyn Future<Output = bool> + 'a>> {
+        Box::pin(async { true })
+    }
+    fn wrong(&self, _what: String) {}
     /// Plays a trouble that only planners and voters have; false where it is none of theirs.
     fn strikes<'a>(
         &'a self,
@@ -154,6 +159,24 @@
                 tokio::time::sleep(last).await;
                 struck.iter().for_each(|m| m.tell(Word::Up));
             }
+            "hall_lost" => {
+                let zone = t.zone.clone().unwrap_or_else(|| self.fleet[0].zone.clone());
+                let hall: Vec<&Rc<Machine>> = self.fleet.iter().filter(|m| m.zone == zone).collect();
+                hall.iter().for_each(|m| m.tell(Word::Down));
+                tokio::time::sleep(last).await;
+                // On a slow machine it takes longer until all know; back before that, it was never lost.
+                let mut tries = 0;
+                while !self.planners.say_lost(&zone).await && tries < 300 {
+                    tries += 1;
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+                if tries == 300 {
+                    self.planners.wrong(format!("{zone}: not said to be lost by all planners"));
+                }
+                let now = self.world.clock.now();
+                self.world.auditor.borrow_mut().hall_back(now, &zone);
+                hall.iter().for_each(|m| m.tell(Word::Up));
+            }
             "vanish" => {
                 struck.iter().for_each(|m| {
                     m.vanished.set(true);
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -565,6 +565,26 @@
         self.zones[(process + self.voters.len()) % self.zones.len()].clone()
     }
 
+    fn say_lost<'a>(&'a self, zone: &'a str) -> Pin<Box<dyn Future<Output = bool> + 'a>> {
+        Box::pin(async move {
+            let front = self.front.borrow().clone();
+            for listens in front {
+                let asked = ["planner", "--planner", &listens, "-o", "json"];
+                let asked = Command::new(&self.how.binary).args(asked).kill_on_drop(true).output().await;
+                let told = asked.ok().and_then(|out| serde_json::from_slice(&out.stdout).ok());
+                let told: serde_json::Value = told.unwrap_or_default();
+                if told["others"]["halls"]["halls"][zone]["state"] != "lost" {
+                    return false;
+                }
+            }
+            true
+        })
+    }
+
+    fn wrong(&self, what: String) {
+        self.faults.borrow_mut().push(what);
+    }
+
     fn kill(&self, planner: usize) -> Pin<Box<dyn Future<Output = ()> + '_>> {
         Box::pin(async move {
             if let Some(p) = self.seats[planner].holder.get() {
