Slack: sums in one order, and traces that hold the same run after run

Seen: value_under_load failed in every run but those that had just written it. Cause: its rows began with blanks, which the expected text loses as indentation; and Own summed what waits in the order of a hash map, which differs from run to run, so that sums differed by their last digit: excluded as the cause of the failures (the figures were alike to the digit), but a decision that two runs of one seed may take differently. Change: what waits is kept in order; rows begin with their load. Measured: the workspace's tests, all, and the package's four times over: the same.

--- a/slack/src/own.rs
+++ b/slack/src/own.rs
@@ -3,8 +3,7 @@
 use crate::line::{grown, Line, Verdict};
 use crate::share::Share;
 use crate::{band, bucket, BANDS, FITS, LEFT, STEPS};
-use std::collections::{HashMap, VecDeque};
-use std::hash::Hash;
+use std::collections::{BTreeMap, VecDeque};
 
 /// What was seen fades to a third in this time, in microseconds.
 const FADES: f64 = 3_000_000.0;
@@ -27,7 +26,8 @@
     offered: [f64; BANDS],
     placed: [f64; BANDS],
     times: [[f64; STEPS.len() + 1]; BANDS],
-    waiting: HashMap<K, Waiting>,
+    /// In order: sums of floats differ by the order in which they are added.
+    waiting: BTreeMap<K, Waiting>,
     room: [f64; FITS.len()],
     cores: f64,
     /// What it saw, and when; the newest at the end.
@@ -37,14 +37,14 @@
     draws: u64,
 }
 
-impl<K: Hash + Eq + Clone> Own<K> {
+impl<K: Ord + Clone> Own<K> {
     pub fn new(now: i64, seed: u64) -> Self {
         Own {
             now,
             offered: [0.0; BANDS],
             placed: [0.0; BANDS],
             times: [[0.0; STEPS.len() + 1]; BANDS],
-            waiting: HashMap::new(),
+            waiting: BTreeMap::new(),
             room: [0.0; FITS.len()],
             cores: 0.0,
             seen: VecDeque::new(),
--- a/slack/tests/fleet.rs
+++ b/slack/tests/fleet.rs
@@ -165,7 +165,7 @@
     let declined = runs.iter().map(|r| r.declined / r.asked).sum::<f64>() / 3.0;
     let name = format!("{door:?}");
     let text = format!(
-        "{load:4} x {name:8} value {mean:6.0} ({least:.0} to {most:.0}), declined {:4.1} %, admitted and missed {:4.1} %\n",
+        "{load} times, {name:8} value {mean:6.0} ({least:.0} to {most:.0}), declined {:4.1} %, admitted and missed {:4.1} %\n",
         declined * 100.0,
         missed * 100.0
     );
@@ -181,26 +181,26 @@
         }
     }
     expect![[r#"
-           1 x None     value   5914 (5899 to 5937), declined  0.0 %, admitted and missed  0.0 %
-           1 x Own      value   5883 (5870 to 5899), declined  0.8 %, admitted and missed  0.0 %
-           1 x Shared   value   5892 (5876 to 5911), declined  0.9 %, admitted and missed  0.0 %
-           1 x Cut      value   5889 (5876 to 5903), declined  0.8 %, admitted and missed  0.0 %
-           1 x SeesAll  value   5898 (5886 to 5915), declined  0.8 %, admitted and missed  0.0 %
-         1.5 x None     value   6649 (6634 to 6665), declined  0.0 %, admitted and missed  1.0 %
-         1.5 x Own      value   6882 (6840 to 6963), declined  5.3 %, admitted and missed  0.0 %
-         1.5 x Shared   value   6875 (6811 to 6973), declined  6.0 %, admitted and missed  0.0 %
-         1.5 x Cut      value   6880 (6833 to 6962), declined  6.0 %, admitted and missed  0.0 %
-         1.5 x SeesAll  value   6916 (6881 to 6972), declined  4.6 %, admitted and missed  0.0 %
-           3 x None     value   5880 (5659 to 6060), declined  0.0 %, admitted and missed 23.1 %
-           3 x Own      value   8857 (8803 to 8890), declined 33.0 %, admitted and missed  0.0 %
-           3 x Shared   value   8757 (8675 to 8833), declined 34.6 %, admitted and missed  0.0 %
-           3 x Cut      value   8751 (8670 to 8831), declined 34.9 %, admitted and missed  0.0 %
-           3 x SeesAll  value   8870 (8806 to 8913), declined 33.4 %, admitted and missed  0.0 %
-          10 x None     value   5132 (4884 to 5300), declined  0.0 %, admitted and missed 70.4 %
-          10 x Own      value  10170 (9995 to 10265), declined 73.3 %, admitted and missed  0.0 %
-          10 x Shared   value  10006 (9110 to 10634), declined 73.7 %, admitted and missed  0.0 %
-          10 x Cut      value  10057 (9262 to 10467), declined 73.8 %, admitted and missed  0.1 %
-          10 x SeesAll  value  10596 (10267 to 11062), declined 73.0 %, admitted and missed  0.0 %
+        1 times, None     value   5914 (5899 to 5937), declined  0.0 %, admitted and missed  0.0 %
+        1 times, Own      value   5883 (5870 to 5899), declined  0.8 %, admitted and missed  0.0 %
+        1 times, Shared   value   5892 (5876 to 5911), declined  0.9 %, admitted and missed  0.0 %
+        1 times, Cut      value   5889 (5876 to 5903), declined  0.8 %, admitted and missed  0.0 %
+        1 times, SeesAll  value   5898 (5886 to 5915), declined  0.8 %, admitted and missed  0.0 %
+        1.5 times, None     value   6649 (6634 to 6665), declined  0.0 %, admitted and missed  1.0 %
+        1.5 times, Own      value   6882 (6840 to 6963), declined  5.3 %, admitted and missed  0.0 %
+        1.5 times, Shared   value   6875 (6811 to 6973), declined  6.0 %, admitted and missed  0.0 %
+        1.5 times, Cut      value   6880 (6833 to 6962), declined  6.0 %, admitted and missed  0.0 %
+        1.5 times, SeesAll  value   6916 (6881 to 6972), declined  4.6 %, admitted and missed  0.0 %
+        3 times, None     value   5880 (5659 to 6060), declined  0.0 %, admitted and missed 23.1 %
+        3 times, Own      value   8857 (8803 to 8890), declined 33.0 %, admitted and missed  0.0 %
+        3 times, Shared   value   8757 (8675 to 8833), declined 34.6 %, admitted and missed  0.0 %
+        3 times, Cut      value   8751 (8670 to 8831), declined 34.9 %, admitted and missed  0.0 %
+        3 times, SeesAll  value   8870 (8806 to 8913), declined 33.4 %, admitted and missed  0.0 %
+        10 times, None     value   5132 (4884 to 5300), declined  0.0 %, admitted and missed 70.4 %
+        10 times, Own      value  10170 (9995 to 10265), declined 73.3 %, admitted and missed  0.0 %
+        10 times, Shared   value  10006 (9110 to 10634), declined 73.7 %, admitted and missed  0.0 %
+        10 times, Cut      value  10057 (9262 to 10467), declined 73.8 %, admitted and missed  0.1 %
+        10 times, SeesAll  value  10596 (10267 to 11062), declined 73.0 %, admitted and missed  0.0 %
     "#]]
     .assert_eq(&rows);
 }
@@ -214,16 +214,16 @@
         }
     }
     expect![[r#"
-           3 x None     value   5847 (5696 to 6014), declined  0.0 %, admitted and missed 26.5 %
-           3 x Own      value   9004 (8938 to 9133), declined 34.0 %, admitted and missed  0.0 %
-           3 x Shared   value   8939 (8873 to 9053), declined 35.8 %, admitted and missed  0.0 %
-           3 x Cut      value   8948 (8883 to 9072), declined 35.5 %, admitted and missed  0.0 %
-           3 x SeesAll  value   9023 (8961 to 9138), declined 33.6 %, admitted and missed  0.0 %
-          10 x None     value   5535 (5355 to 5818), declined  0.0 %, admitted and missed 70.8 %
-          10 x Own      value   8565 (8509 to 8626), declined 73.9 %, admitted and missed  0.0 %
-          10 x Shared   value   9624 (9065 to 10152), declined 73.5 %, admitted and missed  0.0 %
-          10 x Cut      value   8341 (8181 to 8445), declined 73.5 %, admitted and missed  0.3 %
-          10 x SeesAll  value  10284 (9881 to 10902), declined 73.4 %, admitted and missed  0.0 %
+        3 times, None     value   5847 (5696 to 6014), declined  0.0 %, admitted and missed 26.5 %
+        3 times, Own      value   9004 (8938 to 9133), declined 34.0 %, admitted and missed  0.0 %
+        3 times, Shared   value   8939 (8873 to 9053), declined 35.8 %, admitted and missed  0.0 %
+        3 times, Cut      value   8948 (8883 to 9072), declined 35.5 %, admitted and missed  0.0 %
+        3 times, SeesAll  value   9023 (8961 to 9138), declined 33.6 %, admitted and missed  0.0 %
+        10 times, None     value   5535 (5355 to 5818), declined  0.0 %, admitted and missed 70.8 %
+        10 times, Own      value   8565 (8509 to 8626), declined 73.9 %, admitted and missed  0.0 %
+        10 times, Shared   value   9624 (9065 to 10152), declined 73.5 %, admitted and missed  0.0 %
+        10 times, Cut      value   8341 (8181 to 8445), declined 73.5 %, admitted and missed  0.3 %
+        10 times, SeesAll  value  10284 (9881 to 10902), declined 73.4 %, admitted and missed  0.0 %
     "#]]
     .assert_eq(&rows);
 }
