--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -455,6 +455,11 @@
         self.me
     }
 
+    /// Who is at the other end of a link.
+    pub fn peer(&self, link: u64) -> Option<usize> {
+        self.links.get(&link).map(|l| l.seat)
+    }
+
     /// The planners to which a link stands.
     pub fn linked_to(&self) -> impl Iterator<Item = usize> + '_ {
         self.links.values().map(|l| l.seat)
--- a/exchange/src/wrong.rs
+++ b/exchange/src/wrong.rs
@@ -44,6 +44,13 @@
     ))]
     Carried { peer: usize, seat: usize, field: String, found: String, expected: String },
 
+    #[error(
+        "planner-{peer}: digest: found {seats} seats, {tokens} tokens and {numbers} numbers; expected as many \
+         of each"
+    )]
+    #[diagnostic(help("it speaks another version of the protocol: give all planners the same build"))]
+    Lists { peer: usize, seats: usize, tokens: usize, numbers: usize },
+
     #[error("planner-{peer}: question: found {found}; expected the one that is open")]
     #[diagnostic(help(
         "an answer that came twice or very late; if it lasts, the way to that planner is slow"
@@ -61,6 +68,7 @@
             | Wrong::Number { peer, .. }
             | Wrong::Age { peer, .. }
             | Wrong::Carried { peer, .. }
+            | Wrong::Lists { peer, .. }
             | Wrong::Question { peer, .. } => peer,
         }
     }
--- a/planner/src/peers.rs
+++ b/planner/src/peers.rs
@@ -201,13 +201,23 @@
             // Its address went to another process.
             return Err(Wrong::Seat { peer: expected, found: seat, seats });
         }
-        self.exchange.linked(now, link, seat, peer.epoch, dialled.is_some())
+        let linked = self.exchange.linked(now, link, seat, peer.epoch, dialled.is_some());
+        if let (Err(_), Some(seat)) = (&linked, dialled) {
+            // Dialled again at once, it would answer the same.
+            self.exchange.failed(now, seat);
+        }
+        linked
     }
 
     /// A frame of a planner's. An error ends the link, unless it is usual.
     pub fn frame(&mut self, now: i64, link: u64, body: Body) -> Result<(), Wrong> {
         match body {
             Body::Digest(d) => {
+                let lists = (d.seats.len(), d.tokens.len(), d.numbers.len());
+                if lists.0 != lists.1 || lists.0 != lists.2 {
+                    let peer = self.exchange.peer(link).unwrap_or_default();
+                    return Err(Wrong::Lists { peer, seats: lists.0, tokens: lists.1, numbers: lists.2 });
+                }
                 let has = d.seats.iter().zip(&d.tokens).zip(&d.numbers);
                 let has = has.map(|((&seat, &token), &number)| (seat as usize, token, number));
                 self.exchange.asked(now, link, d.question, has)
--- a/slack/src/line.rs
+++ b/slack/src/line.rs
@@ -153,7 +153,8 @@
         match expected {
             Some(expected) if expected <= patience => Verdict::Waits,
             _ => {
-                let retry_after = expected.map_or(left, |x| x - patience).clamp(AGAIN.0, AGAIN.1);
+                let retry_after =
+                    expected.map_or(left, |x| x.saturating_sub(patience)).clamp(AGAIN.0, AGAIN.1);
                 Verdict::Declined { retry_after, expected, ahead, room }
             }
         }
--- a/slack/src/own.rs
+++ b/slack/src/own.rs
@@ -82,7 +82,7 @@
             return verdict;
         }
         self.gone(&key);
-        let waits = Waiting { band: own, cores, since: now, limit_at: now + left };
+        let waits = Waiting { band: own, cores, since: now, limit_at: now.saturating_add(left) };
         self.waiting.insert(key, waits);
         self.line.waits_more(own, cores);
         verdict
@@ -132,7 +132,7 @@
         // What went without a word is not waited for.
         let line = &mut self.line;
         self.waiting.retain(|_, w| {
-            let keeps = now < w.limit_at + REMEMBERS;
+            let keeps = now < w.limit_at.saturating_add(REMEMBERS);
             if !keeps {
                 line.waits_more(w.band, -w.cores);
             }
@@ -157,7 +157,7 @@
         let rate = |sum: f64| sum / FADES * 1e6;
         let mut waiting = [[0.0; LEFT.len() + 1]; BANDS];
         for w in self.waiting.values() {
-            waiting[w.band][bucket(w.limit_at - now, &LEFT)] += w.cores;
+            waiting[w.band][bucket(w.limit_at.saturating_sub(now), &LEFT)] += w.cores;
         }
         Share {
             offered: self.offered.map(rate),
--- a/slack/tests/laws.rs
+++ b/slack/tests/laws.rs
@@ -109,6 +109,23 @@
     });
 }
 
+/// An owner may say any time, and nothing of it reaches beyond its own asking.
+#[test]
+fn times_beyond_all_sense_are_borne() {
+    let mut own = Own::new(0, 1);
+    own.fleet([(100.0, 0.0)].into_iter());
+    for (n, left) in [i64::MAX, i64::MIN, -1, 0].into_iter().enumerate() {
+        own.asked(S, n, 1.0, 1.0, S, left);
+        own.placed(S, &n);
+        own.asked(S, n, 1.0, 1.0, S, left);
+        own.others(2 * S, Vec::new());
+    }
+    let waits: f64 = own.share(3 * S).waiting.as_flattened().iter().sum();
+    assert!(waits.is_finite());
+    own.others(100 * S, Vec::new());
+    assert_eq!(own.waits(), 1, "only the one that never ends waits on");
+}
+
 /// Refused in one moment, owners are not told to come back in one.
 #[test]
 fn what_is_declined_may_ask_again_at_spread_times() {
