Planner: a room each in the core for owners, machines, clauses and tenants; no circles

Nothing else moves. Conclusion: council and voter, drill and rig each hang on a third and no more on each other.

--- a/cli/src/drill.rs
+++ b/cli/src/drill.rs
@@ -1,6 +1,7 @@
 //! `basaltpitch drill`: a scripted day of trouble, judged by the traffic.
 use crate::{load, Failure};
-use basaltpitch_standins::drill::{run, How, Verdict};
+use basaltpitch_standins::drill::{run, Verdict};
+use basaltpitch_standins::how::How;
 use std::path::PathBuf;
 
 #[derive(clap::Args)]
--- /dev/null
+++ b/planner/src/core/tenants.rs
@@ -0,0 +1,69 @@
+//! The core's room for the directory of tenants.
+use super::*;
+
+impl Core {
+    // The directory of tenants.
+
+    /// From now on tenants are learnt from a directory. To be called before anything else comes.
+    pub fn learn(&mut self, now: i64, learnt: Learnt) {
+        self.set_clock(now);
+        let shares = learnt.shares();
+        self.tenancy = Tenancy::Learnt(Box::new(learnt));
+        for (tenant, share) in shares {
+            self.tell(Told::TenantShare { tenant, share });
+        }
+        self.clock(now);
+    }
+
+    /// A first answer of a sweep came.
+    pub fn sweep_answered(&mut self, now: i64, number: u64) {
+        if let Some(learnt) = self.tenancy.learnt() {
+            learnt.answered(number);
+            learnt.say(now);
+        }
+    }
+
+    /// A sweep ended, `None` where it brought nothing; `lacks` says why it is not all.
+    pub fn swept(&mut self, now: i64, number: u64, sweep: Option<Sweep>, lacks: Vec<String>) {
+        self.set_clock(now);
+        let Some(learnt) = self.tenancy.learnt() else { return };
+        let before = learnt.full_at();
+        let Some(changes) = learnt.swept(now, number, sweep, lacks) else { return };
+        learnt.say(now);
+        let mut shares = Vec::new();
+        for change in &changes {
+            match change {
+                Change::Came { id, name } => {
+                    tracing::info!(tenant = name, id = %id, "a tenant came");
+                    shares.extend(learnt.share(*id));
+                }
+                Change::Renamed { id, from, to } => {
+                    tracing::info!(tenant = to, was = from, id = %id, "a tenant has another name")
+                }
+                Change::Went { id, name } => tracing::info!(tenant = name, id = %id, "a tenant went"),
+                Change::Members { name, count, .. } => {
+                    tracing::info!(tenant = name, members = count, "a tenant has other members")
+                }
+                Change::Share { id, name, from, to } => {
+                    tracing::info!(tenant = name, share = to, was = from, "a tenant has another share");
+                    shares.extend(learnt.share(*id));
+                }
+            }
+        }
+        if let Some(at) = learnt.full_at().filter(|_| learnt.full_at() != before) {
+            let all = learnt.memory_if_new().map(|m| m.1);
+            self.out.push_back(Out::Remember { at, all });
+        }
+        for (tenant, share) in shares {
+            self.tell(Told::TenantShare { tenant, share });
+        }
+        self.settle();
+    }
+
+    /// What was to be remembered could not be kept: all of it comes again with the next full sweep.
+    pub fn forgot(&mut self) {
+        if let Some(learnt) = self.tenancy.learnt() {
+            learnt.forgot();
+        }
+    }
+}
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -1,8 +1,9 @@
 //! A planner's side of the council on sockets: links to the voters, the seat that it holds, the duties beside
 //! it, and the word that comes before each act. It decides nothing: `basaltpitch_council` says what to ask
 //! for and what is held.
-use basaltpitch_agent::link::{self, Clock, News, Order};
-use basaltpitch_agent::session::{Event, Party};
+use crate::voters::{awake, follow, member_name, Heard, Way};
+use basaltpitch_agent::link::{Clock, Order};
+use basaltpitch_agent::session::Party;
 use basaltpitch_agent::wire::{self, Body};
 use basaltpitch_council::member::{Call, Member};
 use basaltpitch_council::seats::Seats;
@@ -11,27 +12,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
 const INBOX: usize = 256;
-const ORDERS: usize = 256;
-const CONNECTS: Duration = Duration::from_millis(500);
-/// A voter that did not answer is dialled again after this time.
-const AGAIN: Duration = Duration::from_millis(100);
-
-/// Microseconds of a clock that runs on while the machine is suspended.
-pub fn awake() -> i64 {
-    let t = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    t.tv_sec * 1_000_000 + t.tv_nsec / 1000
-}
-
-/// The way to a voter.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Way {
-    pub name: String,
-    pub address: String,
-}
 
 /// What a process brings to the council.
 pub struct Start {
@@ -115,24 +98,6 @@
     Write { duty: Rc<str>, token: u64, text: Vec<u8> },
 }
 
-/// Runs one link: orders in, news out; `Ended` is the last of them.
-fn dial(way: Way, me: Party, clock: Clock) -> (mpsc::Sender<Order>, mpsc::Receiver<News>) {
-    let (orders, orders_in) = mpsc::channel(ORDERS);
-    let (news_out, news) = mpsc::channel(INBOX);
-    tokio::task::spawn_local(async move {
-        let why = match tokio::time::timeout(CONNECTS, TcpStream::connect(&way.address)).await {
-            Ok(Ok(stream)) => {
-                let _ = stream.set_nodelay(true);
-                return link::run(stream, me, clock, orders_in, news_out, |n| n).await;
-            }
-            Ok(Err(e)) => format!("no connection: {e}"),
-            Err(_) => "no connection in time".into(),
-        };
-        let _ = news_out.send(News::Ended { why, unsent: Vec::new() }).await;
-    });
-    (orders, news)
-}
-
 struct Actor {
     term: i64,
     member: Member<Rc<str>>,
@@ -174,7 +139,7 @@
         term: terms.term,
         member: Member::new(terms, voters.len(), seed, me.epoch),
         seats: Seats::new(seats, voters.len(), seed),
-        me: crate::voter::member_name(&me.name, me.epoch),
+        me: member_name(&me.name, me.epoch),
         voters: vec![None; voters.len()],
         tenure,
         words,
@@ -222,48 +187,6 @@
     }
 }
 
-/// What is heard of one voter's link: a way to order it, a frame, or its end.
-pub(crate) enum Heard {
-    Up(mpsc::Sender<Order>),
-    Frame(Body),
-    Down,
-}
-
-/// Keeps a link to one voter, whose place among all is `v`.
-pub(crate) async fn follow(v: usize, way: Way, me: Party, clock: Clock, heard: mpsc::Sender<(usize, Heard)>) {
-    let mut links = 0;
-    loop {
-        links += 1;
-        let (orders, mut news) = dial(way.clone(), Party { link: links, ..me.clone() }, clock);
-        while let Some(news) = news.recv().await {
-            let word = match news {
-                News::Session(Event::Up(party))
-                    if party.role == wire::Role::Voter && party.name == way.name =>
-                {
-                    Heard::Up(orders.clone())
-                }
-                News::Session(Event::Up(party)) => {
-                    tracing::error!(voter = way.name, found = party.name, "another than the voter answers");
-                    break;
-                }
-                News::Session(Event::Frame(body)) => Heard::Frame(body),
-                News::Session(_) => continue,
-                News::Ended { why, .. } => {
-                    tracing::debug!(voter = way.name, why, "no link");
-                    break;
-                }
-            };
-            if heard.send((v, word)).await.is_err() {
-                return;
-            }
-        }
-        if heard.send((v, Heard::Down)).await.is_err() {
-            return;
-        }
-        tokio::time::sleep(AGAIN).await;
-    }
-}
-
 impl Actor {
     fn all_voters(&mut self, body: impl Fn() -> Body) {
         for orders in self.voters.iter().flatten() {
--- a/planner/src/lib.rs
+++ b/planner/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod told;
 pub mod view;
 pub mod voter;
+pub mod voters;
--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -1,6 +1,6 @@
 //! A voter of the council on sockets: one actor owns the votes, queues are bounded. What it votes is on the
 //! disk before it is said, where it has one.
-use crate::council::{awake, follow, Heard, Way};
+use crate::voters::{awake, follow, member_name, Heard, Way};
 use basaltpitch_agent::accepting::Accepting;
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Party};
@@ -57,11 +57,6 @@
     store: Option<Store>,
 }
 
-/// Who a process is, for votes: its name and the moment of its start. A process that starts again is another.
-pub fn member_name(name: &str, epoch: u64) -> Rc<str> {
-    format!("{name} of {epoch}").into()
-}
-
 /// Votes until `stop` is done.
 pub async fn serve(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
     tokio::task::LocalSet::new().run_until(actor(listener, start, stop)).await;
--- a/planner/tests/rolls.rs
+++ b/planner/tests/rolls.rs
@@ -1,8 +1,9 @@
 //! A planner that conducts a roll, between the council's words and the register's list: what it writes and
 //! says, and what it keeps to itself.
 use basaltpitch_agent::wire::{Body, Entry, List, Readiness};
-use basaltpitch_planner::council::{awake, Duty, Tenure, Wish};
+use basaltpitch_planner::council::{Duty, Tenure, Wish};
 use basaltpitch_planner::roll::{Duties, Rolls, DUTY, WISH};
+use basaltpitch_planner::voters::awake;
 use basaltpitch_rolls::{Plan, Progress};
 use std::collections::HashMap;
 use tokio::sync::mpsc;
--- a/standins/src/drill.rs
+++ b/standins/src/drill.rs
@@ -2,6 +2,7 @@
 //! trouble, and a verdict by the traffic on the sockets.
 use crate::day::{self, Load, Planners, Stage};
 use crate::feast::{Feast, NEWCOMER};
+use crate::how::How;
 use crate::machine::{self, Manners, World};
 use crate::owner::{self, Front, Seens, Wish};
 use crate::register::{self, Lateness};
@@ -29,18 +30,6 @@
 use tokio::process::{Child, Command};
 use tokio::task::LocalSet;
 
-/// How a drill is run.
-pub struct How {
-    pub installation: Installation,
-    /// The files that the installation was read from; planners read them too.
-    pub files: Vec<PathBuf>,
-    /// The binary that has `serve`.
-    pub binary: PathBuf,
-    pub seed: Option<u64>,
-    /// Planners write recordings into this folder.
-    pub record: Option<PathBuf>,
-}
-
 /// What came of it.
 #[derive(Clone, Debug, Serialize)]
 pub struct Verdict {
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -2,7 +2,7 @@
 //! through relays of its own, and others reach each planner through one; processes are killed, stopped, woken
 //! and told to stop, their links cut. What each prints says who is seated, so the time that a seat stands without a planner is known from outside.
 use crate::day::{Planners, Trouble};
-use crate::drill::How;
+use crate::how::How;
 use crate::machine::World;
 use crate::owner::Front;
 use crate::relay::{self, Ways};
