A planner that has just been seated asks the voters for the word on halls

Need: a successor seated while a hall returns went by "all well" until another planner told it, a second or two in which it offered work to the whole hall. Change: each seated planner asks for the note of the duty halls with the seats, all voters at once in the moment in which it is seated. Kept frames of some duties alone no longer count as the list of seats that are taken.

--- a/cli/src/roll.rs
+++ b/cli/src/roll.rs
@@ -83,6 +83,7 @@
     let (acts, mut duties) = mpsc::channel(16);
     let start = council::Start {
         peers: None,
+        words: Vec::new(),
         terms,
         voters,
         seats: Vec::new(),
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -132,7 +132,7 @@
                 let seed = self.seed.unwrap_or(started);
                 let (duties, follows) =
                     (vec![roll::DUTY.into(), halls::DUTY.into()], vec![roll::WISH.into()]);
-                let peers = Some(SEATS.into());
+                let (peers, words) = (Some(SEATS.into()), vec![halls::DUTY.into()]);
                 let start = council::Start {
                     terms,
                     voters,
@@ -140,6 +140,7 @@
                     duties,
                     follows,
                     peers,
+                    words,
                     acts: None,
                     me,
                     seed,
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -27,6 +27,8 @@
     pub follows: Vec<Rc<str>>,
     /// What the names of all seats begin with, for a process that is to know of the others while it is seated.
     pub peers: Option<Rc<str>>,
+    /// The duties whose notes it is to know of while it is seated.
+    pub words: Vec<Rc<str>>,
     /// Where what comes of these is told, for a process that wants them without a seat.
     pub acts: Option<mpsc::Sender<Duty>>,
     /// Who it is: a name of its own and the time of its start.
@@ -83,7 +85,8 @@
         duty: Rc<str>,
         note: Vec<u8>,
     },
-    /// A voter tells of all seats who has them: under which token, and what its holder has written there.
+    /// A voter tells of all seats who has them: under which token, and what its holder has written there; and of
+    /// words, by which token they were written.
     Seats(Vec<(Rc<str>, u64, Option<Vec<u8>>)>),
 }
 
@@ -112,6 +115,7 @@
     duties: Vec<Rc<str>>,
     follows: Vec<Rc<str>>,
     peers: Option<Rc<str>>,
+    of_words: Vec<Rc<str>>,
     /// Looks since it was seated: at each, another voter is asked for the seats.
     looked: usize,
     /// Of the duties beside the seat that are held: token and tenure, and the number of the last note
@@ -129,7 +133,7 @@
 
 /// Takes a seat when one is free, holds it, and says when it is lost; until `wishes` ends or says to leave.
 pub async fn run(start: Start, tenure: Tenure, words: mpsc::Sender<Word>, mut wishes: mpsc::Receiver<Wish>) {
-    let Start { terms, voters, seats, duties, follows, peers, acts, me, seed } = start;
+    let Start { terms, voters, seats, duties, follows, peers, words: of_words, acts, me, seed } = start;
     let clock = Clock::start();
     let (heard_out, mut heard) = mpsc::channel(INBOX);
     for (v, way) in voters.iter().enumerate() {
@@ -148,6 +152,7 @@
         duties,
         follows,
         peers,
+        of_words,
         looked: 0,
         held: BTreeMap::new(),
         acts,
@@ -206,11 +211,15 @@
         // one may be cut off or behind. Just seated, it asks them all.
         self.looked += 1;
         if self.looked == 1 || self.looked.is_multiple_of(2) {
-            let ask = Body::Record(wire::Record { brief: true, prefix: prefix.to_string() });
+            let ask =
+                |prefix: &Rc<str>| Body::Record(wire::Record { brief: true, prefix: prefix.to_string() });
+            let asks: Vec<Body> = std::iter::once(prefix).chain(&self.of_words).map(ask).collect();
             let linked: Vec<&mpsc::Sender<Order>> = self.voters.iter().flatten().collect();
             let one = linked.get(self.looked / 2 % linked.len().max(1)).filter(|_| self.looked > 1);
             let whom: Vec<_> = one.map_or(linked.clone(), |one| vec![*one]);
-            whom.iter().for_each(|orders| drop(orders.try_send(Order::Send(ask.clone(), None))));
+            for orders in whom {
+                asks.iter().for_each(|ask| drop(orders.try_send(Order::Send(ask.clone(), None))));
+            }
         }
     }
 
@@ -219,12 +228,17 @@
     fn tell_seats(&mut self, kept: &wire::Kept) {
         let (Some(acts), Some(prefix)) = (&self.acts, &self.peers) else { return };
         let held = |d: &&wire::KeptDuty| d.duty.starts_with(&**prefix) && d.renewed && !d.holder.is_empty();
+        let is_word =
+            |d: &&wire::KeptDuty| !d.note.is_empty() && self.of_words.iter().any(|w| **w == *d.duty);
+        let word = |d: &wire::KeptDuty| (Rc::from(d.duty.as_str()), d.note_token, Some(d.note.clone()));
         let seat = |d: &wire::KeptDuty| {
             let note = (d.note_token == d.token && !d.note.is_empty()).then(|| d.note.clone());
             (Rc::from(d.duty.as_str()), d.token, note)
         };
         // Not taken, it is told at one of the next looks.
-        let _ = acts.try_send(Duty::Seats(kept.duties.iter().filter(held).map(seat).collect()));
+        let words = kept.duties.iter().filter(is_word).map(word);
+        let all = kept.duties.iter().filter(held).map(seat).chain(words);
+        let _ = acts.try_send(Duty::Seats(all.collect()));
     }
 
     fn hear(&mut self, v: usize, heard: Heard) {
@@ -266,9 +280,12 @@
                 self.member.freed(now, &duty);
             }
             Heard::Frame(Body::Kept(kept)) => {
-                let others = kept.duties.iter().filter(|d| d.left_us > 0 && *d.holder != *self.me);
-                self.seats.told(v, others.map(|d| Rc::from(d.duty.as_str())));
-                self.seek(now);
+                if self.seated.is_none() {
+                    // Seated, it may have asked for some duties alone.
+                    let others = kept.duties.iter().filter(|d| d.left_us > 0 && *d.holder != *self.me);
+                    self.seats.told(v, others.map(|d| Rc::from(d.duty.as_str())));
+                    self.seek(now);
+                }
                 self.tell_seats(&kept);
                 for d in kept.duties {
                     let of = self.follows.iter().find(|f| ***f == *d.duty).filter(|_| !self.held.is_empty());
@@ -419,6 +436,8 @@
                     let _ = self.words.send(Word::Seated { seat: duty, token, duties }).await;
                     let (now, all) = (awake(), self.duties.clone());
                     all.into_iter().for_each(|duty| self.member.want(now, duty));
+                    // Before its first machine is linked it is to know what is said of halls.
+                    self.look();
                 }
                 Call::Lost { duty, token } if self.duties.contains(&duty) => {
                     tracing::info!(duty = &*duty, token, "the duty is held no more");
--- a/planner/src/halls.rs
+++ b/planner/src/halls.rs
@@ -138,6 +138,18 @@
         self.known = Known { token, number, stages };
     }
 
+    /// A voter's word for the word: with it a planner that has just been seated, or hears no other, goes by it
+    /// too. A majority may not keep it yet; then its conductor writes it again, or the next one another. True:
+    /// it is news.
+    pub fn noted(&mut self, token: u64, note: &[u8]) -> bool {
+        let before = (self.known.token, self.known.number);
+        // An unreadable one is the conductor's to complain of.
+        if let Ok(noted) = serde_json::from_slice::<Noted>(note) {
+            self.told(token, noted.number, noted.word.halls.iter().map(|h| h.stage).collect());
+        }
+        before != (self.known.token, self.known.number)
+    }
+
     /// What this planner tells of the word: token, number, and a figure for each hall.
     pub fn says(&self) -> (f64, f64, Vec<f64>) {
         let known = &self.known;
--- a/planner/src/peers.rs
+++ b/planner/src/peers.rs
@@ -178,6 +178,13 @@
         core.hold_halls(now, self.halls.stages());
     }
 
+    /// A voter tells the word on halls, as the conductor under this token wrote it.
+    pub fn word(&mut self, now: i64, core: &mut Core, token: u64, note: &[u8]) {
+        if self.halls.noted(token, note) {
+            core.hold_halls(now, self.halls.stages());
+        }
+    }
+
     /// The council tells who has a seat.
     pub fn seated(&mut self, now: i64, seat: &str, token: u64, address: Option<&str>) {
         if let Some(seat) = self.meeting.seats.iter().position(|s| **s == *seat) {
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -377,6 +377,10 @@
             (word, Some(peers), _) if of_halls => peers.conducts(now, word),
             (Duty::Seats(seats), Some(peers), _) => {
                 for (seat, token, note) in seats {
+                    if let Some(note) = note.as_ref().filter(|_| *seat == *halls::DUTY) {
+                        peers.word(now, &mut self.core, token, note);
+                        continue;
+                    }
                     let address = note.as_deref().and_then(|note| std::str::from_utf8(note).ok());
                     peers.seated(now, &seat, token, address);
                 }
