Drill: who conducts halls is stopped before it says lost, and killed in the return

Need: of the hard cases of a lost hall, the conductor's own death and stop were tried in the search of states alone.

--- a/audit/src/worth.rs
+++ b/audit/src/worth.rs
@@ -1,5 +1,5 @@
-//! What was placed by its worth, and law 11: nothing of less worth is placed while the same needs of more worth
-//! are declined for want of room, beyond the age of what planners share.
+//! What was placed by its worth, and law 11: nothing of less worth is placed while the same needs of more
+//! worth are declined for want of room, beyond the age of what planners share.
 use crate::{Ask, AskId, Auditor};
 use basaltpitch_agent::wire::AnswerKind;
 use std::collections::{BTreeMap, HashMap};
@@ -83,8 +83,8 @@
     }
 }
 
-/// The first moment from which on, for the age of the view, no asking of the one sort is placed and enough of the
-/// other are.
+/// The first moment from which on, for the age of the view, no asking of the one sort is placed and enough
+/// of the other are.
 fn inverted(declined: &[(i64, bool)], placed: &[(i64, bool)]) -> Option<i64> {
     let within = |fates: &[(i64, bool)], from: i64, want: bool| {
         let window = fates.iter().filter(|f| f.0 >= from && f.0 < from + VIEW);
--- a/cli/src/measure_council.rs
+++ b/cli/src/measure_council.rs
@@ -1,6 +1,6 @@
-//! `basaltpitch measure-council`: what the council costs each member and each voter, and what it costs members
-//! to tell each other how they are, by the number of members, with all of them as processes of this binary on
-//! loopback, each under a seat; and what the look at the term costs a launch.
+//! `basaltpitch measure-council`: what the council costs each member and each voter, and what it costs
+//! members to tell each other how they are, by the number of members, with all of them as processes of this
+//! binary on loopback, each under a seat; and what the look at the term costs a launch.
 use crate::processes::{measured, site, Process};
 use crate::Failure;
 use basaltpitch_planner::council::Tenure;
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -1,8 +1,8 @@
-//! What planners know of each other. Each seat of the council publishes a summary under its token and a number
-//! that rises; planners pass on the newest of every seat to a few others by chance (anti-entropy by push and
-//! pull: Demers and others, "Epidemic algorithms for replicated database maintenance", 1987). What a summary
-//! says is the caller's matter. No I/O, no clock of its own: times are whole microseconds of the caller's
-//! clock, which never goes back.
+//! What planners know of each other. Each seat of the council publishes a summary under its token and a
+//! number that rises; planners pass on the newest of every seat to a few others by chance (anti-entropy by
+//! push and pull: Demers and others, "Epidemic algorithms for replicated database maintenance", 1987). What
+//! a summary says is the caller's matter. No I/O, no clock of its own: times are whole microseconds of the
+//! caller's clock, which never goes back.
 //!
 //! Why no age is understated: nothing is taken but in answer to a question of one's own. The answer says how
 //! old each summary was when it was sent; that was after the question, so each is at most so old, and the
--- a/exchange/src/wrong.rs
+++ b/exchange/src/wrong.rs
@@ -45,8 +45,8 @@
     Carried { peer: usize, seat: usize, field: String, found: String, expected: String },
 
     #[error(
-        "planner-{peer}: digest: found {seats} seats, {tokens} tokens and {numbers} numbers; expected as many \
-         of each"
+        "planner-{peer}: digest: found {seats} seats, {tokens} tokens and {numbers} numbers; \
+         expected as many of each"
     )]
     #[diagnostic(help("it speaks another version of the protocol: give all planners the same build"))]
     Lists { peer: usize, seats: usize, tokens: usize, numbers: usize },
--- a/halls/src/plan.rs
+++ b/halls/src/plan.rs
@@ -1,8 +1,8 @@
-//! Made in advance, all the time: where a hall's load would go if it were lost now, what is refused first, and
-//! what nothing could take.
+//! Made in advance, all the time: where a hall's load would go if it were lost now, what is refused first,
+//! and what nothing could take.
 
-/// Work that stands in a hall: its worth, the cores that it uses, and whether it must stay there (a keyed copy
-/// outside its group, a once-only task that may run).
+/// Work that stands in a hall: its worth, the cores that it uses, and whether it must stay there (a keyed
+/// copy outside its group, a once-only task that may run).
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
     pub worth: f64,
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -1,8 +1,8 @@
 //! One planner without I/O: frames and the passing of time come in, frames to send go out. It holds the
-//! placing module with the ledger in its hands, knows peers by small indices, and decides nothing itself: the
-//! module places, the ledger says what an answer means, `standing` whether a machine is offered work, `dial`
-//! when to connect. What owners, machines, clauses and the directory bring has a room each; all share this one
-//! record. Times are whole microseconds.
+//! placing module with the ledger in its hands, knows peers by small indices, and decides nothing itself:
+//! the module places, the ledger says what an answer means, `standing` whether a machine is offered work,
+//! `dial` when to connect. What owners, machines, clauses and the directory bring has a room each; all
+//! share this one record. Times are whole microseconds.
 mod clauses;
 mod machines;
 mod owners;
--- a/planner/src/core/machines.rs
+++ b/planner/src/core/machines.rs
@@ -179,8 +179,8 @@
 
     // Halls.
 
-    /// Machines of halls that are not well are held back, those of a returning one but for the ones whose turn
-    /// it is. Which those are hangs on their names alone, so that all planners offer work to the same.
+    /// Machines of halls that are not well are held back, those of a returning one but for the ones whose
+    /// turn it is. Which those are hangs on their names alone, so that all planners offer work to the same.
     pub fn hold_halls(&mut self, now: i64, stages: &[Stage]) {
         self.set_clock(now);
         let mut by_hall: Vec<Vec<(bool, u64, usize)>> = vec![Vec::new(); stages.len()];
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -25,7 +25,8 @@
     /// The duties that it takes beside a seat, and those whose notes it follows while it holds one.
     pub duties: Vec<Rc<str>>,
     pub follows: Vec<Rc<str>>,
-    /// What the names of all seats begin with, for a process that is to know of the others while it is seated.
+    /// What the names of all seats begin with, for a process that is to know of the others while it is
+    /// seated.
     pub peers: Option<Rc<str>>,
     /// The duties whose notes it is to know of while it is seated.
     pub words: Vec<Rc<str>>,
@@ -85,8 +86,8 @@
         duty: Rc<str>,
         note: Vec<u8>,
     },
-    /// A voter tells of all seats who has them: under which token, and what its holder has written there; and of
-    /// words, by which token they were written.
+    /// A voter tells of all seats who has them: under which token, and what its holder has written there;
+    /// and of words, by which token they were written.
     Seats(Vec<(Rc<str>, u64, Option<Vec<u8>>)>),
 }
 
--- a/planner/src/door.rs
+++ b/planner/src/door.rs
@@ -57,8 +57,8 @@
                     n => format!("what {n} other planners say, at most {} ms old", line.age / 1000),
                 };
                 let words = format!(
-                    "not worth starting: {ahead:.0} cores that are worth as much wait, {room:.0} are free, its \
-                     turn {turn} and {} ms are left; by {rests_on}",
+                    "not worth starting: {ahead:.0} cores that are worth as much wait, {room:.0} are free, \
+                     its turn {turn} and {} ms are left; by {rests_on}",
                     left / 1000
                 );
                 Some(Refusal { retry_after_us: retry_after, words })
--- a/planner/src/halls.rs
+++ b/planner/src/halls.rs
@@ -1,6 +1,6 @@
-//! A planner's part in what becomes of halls: what it sees goes to whoever conducts, the conductor's word comes
-//! back with what planners tell each other, and machines of a hall that is not well are held back by it.
-//! Decides nothing itself: `basaltpitch_halls` does.
+//! A planner's part in what becomes of halls: what it sees goes to whoever conducts, the conductor's word
+//! comes back with what planners tell each other, and machines of a hall that is not well are held back by
+//! it. Decides nothing itself: `basaltpitch_halls` does.
 use crate::council::{Duty, Tenure, Wish};
 use basaltpitch_halls::{evidence, plan, Call, Conductor, Evidence, Load, Opinion, Pace, Stage, View, Word};
 use serde::{Deserialize, Serialize};
@@ -14,8 +14,8 @@
 const FEW: f64 = 3.0;
 const TOO_MANY: f64 = 0.5;
 
-/// What one planner says of a hall: machines listed, ready, cores of those, cores used at confidence; machines
-/// that answer, whether they are held back or not; launches lately, and those refused or failed.
+/// What one planner says of a hall: machines listed, ready, cores of those, cores used at confidence;
+/// machines that answer, whether they are held back or not; launches lately, and those refused or failed.
 pub type OfHall = [f64; 7];
 
 /// The note.
@@ -98,7 +98,7 @@
                     false => match serde_json::from_slice::<Noted>(&note) {
                         Ok(left) => Some(left.word),
                         Err(e) => {
-                            tracing::error!(error = %e, "what the last conductor of halls left makes no sense");
+                            tracing::error!(error = %e, "the last conductor's word on halls makes no sense");
                             None
                         }
                     },
@@ -138,9 +138,9 @@
         self.known = Known { token, number, stages };
     }
 
-    /// A voter's word for the word: with it a planner that has just been seated, or hears no other, goes by it
-    /// too. A majority may not keep it yet; then its conductor writes it again, or the next one another. True:
-    /// it is news.
+    /// A voter's word for the word: with it a planner that has just been seated, or hears no other, goes by
+    /// it too. A majority may not keep it yet; then its conductor writes it again, or the next one another.
+    /// True: it is news.
     pub fn noted(&mut self, token: u64, note: &[u8]) -> bool {
         let before = (self.known.token, self.known.number);
         // An unreadable one is the conductor's to complain of.
@@ -221,7 +221,8 @@
                 name.clone(),
                 json!({
                     "state": words(stage), "offers": stage.part(), "evidence": evidence,
-                    "cores_used": rounded(self.used[n]), "if_lost_to": to, "if_lost_lacks": rounded(plan.lacks),
+                    "cores_used": rounded(self.used[n]),
+                    "if_lost_to": to, "if_lost_lacks": rounded(plan.lacks),
                 }),
             )
         };
--- a/planner/src/peers.rs
+++ b/planner/src/peers.rs
@@ -112,8 +112,8 @@
         }
     }
 
-    /// What this planner says of itself: its counts, what it shares of its askings, and by hall what it believes
-    /// of machines.
+    /// What this planner says of itself: its counts, what it shares of its askings, and by hall what it
+    /// believes of machines.
     fn share(&self, now: i64, core: &mut Core) -> Rc<[f64]> {
         let counts = core.counts;
         let mut all =
--- a/planner/src/voters.rs
+++ b/planner/src/voters.rs
@@ -1,5 +1,5 @@
-//! Links to the voters, as planners, spares and other voters keep them; and the clock and the names that votes go
-//! by.
+//! Links to the voters, as planners, spares and other voters keep them; and the clock and the names that
+//! votes go by.
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Party};
 use basaltpitch_agent::wire::{self, Body};
--- a/slack/src/lib.rs
+++ b/slack/src/lib.rs
@@ -1,8 +1,8 @@
 //! Which askings are worth starting, by the time and the room that all planners share. The **slack** of an
 //! asking is the time left to its limit less the expected time to *placed*; one whose slack is gone is
-//! declined at once, before anything is done for it (deadline-aware admission; compare "DAGOR", Zhou and others,
-//! "Overload control for scaling WeChat microservices", 2018, which orders by worth but not by time). No I/O,
-//! no clock of its own: times are whole microseconds, cores and worth plain numbers.
+//! declined at once, before anything is done for it (deadline-aware admission; compare "DAGOR", Zhou and
+//! others, "Overload control for scaling WeChat microservices", 2018, which orders by worth but not by
+//! time). No I/O, no clock of its own: times are whole microseconds, cores and worth plain numbers.
 //!
 //! Every planner computes the same **line** from the same shares. What planners believe of the machines is
 //! *fused*, as all see the same ones: the middle of their beliefs. What they are asked for is *summed*, as
--- a/slack/src/line.rs
+++ b/slack/src/line.rs
@@ -132,8 +132,8 @@
         let room = self.room_for(cores);
         let short = ahead + cores - room;
         let higher: f64 = self.offered[own + 1..].iter().sum();
-        // Where more is asked for than is placed, a queue never drains: who waits longer than its latency goal
-        // only makes all who come after him wait as long, each losing worth by it.
+        // Where more is asked for than is placed, a queue never drains: who waits longer than its latency
+        // goal only makes all who come after him wait as long, each losing worth by it.
         let lasts = higher + self.offered[own] > self.placed;
         let patience = if lasts { goal.min(left) } else { left };
         let start = self.start();
--- a/slack/src/share.rs
+++ b/slack/src/share.rs
@@ -1,9 +1,9 @@
 //! What one planner says of its askings and of the fleet, as plain figures.
 use crate::{BANDS, FITS, LEFT, STEPS};
 
-/// By band: cores asked for a second; cores that wait, by slack bucket; cores placed a second; how long it took
-/// to placed, counts that fade. Then cores free on machines with at least so many free, and the cores of all
-/// machines that are offered work.
+/// By band: cores asked for a second; cores that wait, by slack bucket; cores placed a second; how long it
+/// took to placed, counts that fade. Then cores free on machines with at least so many free, and the cores
+/// of all machines that are offered work.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Share {
     pub offered: [f64; BANDS],
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -1,6 +1,7 @@
 //! Voters, planners under seats, and spares as processes of their own. Each process reaches the voters
-//! through relays of its own, and others reach each planner through one; processes are killed, stopped, woken
-//! and told to stop, their links cut. What each prints says who is seated, so the time that a seat stands without a planner is known from outside.
+//! through relays of its own, and others reach each planner through one; processes are killed, stopped,
+//! woken and told to stop, their links cut. What each prints says who is seated, so the time that a seat
+//! stands without a planner is known from outside.
 use crate::day::{Planners, Trouble};
 use crate::how::How;
 use crate::machine::World;
@@ -117,8 +118,8 @@
     Ok(file)
 }
 
-/// Loopback addresses of this process's own for voters: a port that was free a moment ago on the usual one may
-/// go to another process before its voter has it.
+/// Loopback addresses of this process's own for voters: a port that was free a moment ago on the usual one
+/// may go to another process before its voter has it.
 pub fn addresses(voters: usize) -> io::Result<Vec<String>> {
     let id = std::process::id();
     let host = format!("127.{}.{}.{}", 64 + id / 65_536 % 32, id / 256 % 256, id % 254 + 1);
@@ -342,7 +343,9 @@
     /// a drawn part of the seats, one at least.
     async fn struck(&self, t: &Trouble, chance: &mut StdRng) -> Vec<(usize, Option<(usize, u64)>)> {
         let processes = if t.what.starts_with("conductor") {
-            self.conductor().await.into_iter().collect()
+            self.conductor("roll").await.into_iter().collect()
+        } else if t.what.starts_with("halls") {
+            self.conductor("halls").await.into_iter().collect()
         } else {
             let mut all: Vec<usize> = (0..self.seats.len()).collect();
             all.shuffle(chance);
@@ -365,10 +368,10 @@
         serde_json::from_slice(&out.stdout).ok()
     }
 
-    /// Which process conducts rolls, as most voters have it.
-    async fn conductor(&self) -> Option<usize> {
+    /// Which process has this duty, as most voters have it.
+    async fn conductor(&self, duty: &str) -> Option<usize> {
         let rows = self.command("council", &[]).await?;
-        let out = |r: &&serde_json::Value| r["duty"] == "roll" && r["state"] == "vote is out";
+        let out = |r: &&serde_json::Value| r["duty"] == *duty && r["state"] == "vote is out";
         let holders: Vec<&str> =
             rows.as_array()?.iter().filter(out).filter_map(|r| r["holder"].as_str()).collect();
         let most =
@@ -452,7 +455,8 @@
             cut.clear();
             let (Some((apart, hear)), Some((seat, _))) = (&*apart, process.seat.get()) else { continue };
             for other in (0..self.seats.len()).filter(|o| apart.contains(o) != apart.contains(&seat)) {
-                // Who dials is apart, or who is dialled: what those say is cut, and what they hear unless they do.
+                // Who dials is apart, or who is dialled: what those say is cut, and what they hear unless
+                // they do.
                 let cuts = if apart.contains(&other) { (true, !hear) } else { (!hear, true) };
                 cut.insert(format!("planner-{other}"), cuts);
             }
@@ -613,9 +617,9 @@
             let last = Duration::from_micros(t.for_us as u64);
             let voters = self.voters.len();
             match t.what.as_str() {
-                "holder_kill" | "conductor_kill" => self.lose(t, chance, Signal::KILL).await,
+                "holder_kill" | "conductor_kill" | "halls_kill" => self.lose(t, chance, Signal::KILL).await,
                 "holder_leaves" => self.lose(t, chance, Signal::TERM).await,
-                "holder_stop" | "conductor_stop" => self.stop(t, chance).await,
+                "holder_stop" | "conductor_stop" | "halls_stop" => self.stop(t, chance).await,
                 "holder_cut" => self.cut(t, chance, (true, true), voters).await,
                 "holder_mute" => self.cut(t, chance, (true, false), voters).await,
                 "holder_deaf" => self.cut(t, chance, (false, true), voters).await,
