Drill: voters and planners get their ports in one go, so that no two have the same

Cause, by the log and a probe: since planners of the drill have addresses of their own, ports were asked for twice, three for voters, released, then seven for planners on the same loopback address; the kernel hands a released port out again: 13 of 4000 such pairs had one in common. The planner's try at its start went well, the voter had the port a moment later. Excluded: connections (they come from another address), an earlier life of the process (none in its log), other drills (the address has the drill's number in it). Change: all are asked for while all are held; measure-council likewise.

--- a/cli/src/measure_council.rs
+++ b/cli/src/measure_council.rs
@@ -75,7 +75,8 @@
     }
 
     async fn measure(&self, folder: &Path, members: usize) -> io::Result<Value> {
-        let at = addresses(3)?;
+        let mut at = addresses(3 + members)?;
+        let listens = at.split_off(3);
         let (ways, mut through) = (Rc::new(Ways::default()), Vec::new());
         for address in &at {
             through.push(relay::start(address.clone(), ways.clone()).await?);
@@ -90,7 +91,7 @@
             line(voter).await?;
         }
         // Members reach each other through relays, too, so that what they say is counted.
-        let (listens, between) = (addresses(members)?, Rc::new(Ways::default()));
+        let between = Rc::new(Ways::default());
         let begun = Instant::now();
         let mut all = Vec::new();
         for (n, listens) in listens.iter().enumerate() {
--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -118,13 +118,13 @@
     Ok(file)
 }
 
-/// Loopback addresses of this process's own for voters: a port that was free a moment ago on the usual one
-/// may go to another process before its voter has it.
-pub fn addresses(voters: usize) -> io::Result<Vec<String>> {
+/// Loopback addresses of this process's own for voters and planners, each another: a port that was free a
+/// moment ago on the usual one may go to another process before its owner has it.
+pub fn addresses(count: usize) -> io::Result<Vec<String>> {
     let id = std::process::id();
     let host = format!("127.{}.{}.{}", 64 + id / 65_536 % 32, id / 256 % 256, id % 254 + 1);
     let bound = |_| std::net::TcpListener::bind((host.as_str(), 0));
-    let all: Vec<std::net::TcpListener> = (0..voters).map(bound).collect::<io::Result<_>>()?;
+    let all: Vec<std::net::TcpListener> = (0..count).map(bound).collect::<io::Result<_>>()?;
     all.iter().map(|l| Ok(l.local_addr()?.to_string())).collect()
 }
 
@@ -152,8 +152,9 @@
         let number = |field: &str| seats.number(field).unwrap_or(1.0) as usize;
         let (count, voters) = (front.borrow().len(), number("voters"));
         let zones = how.installation.names("zones");
-        let at = addresses(voters)?;
-        let listens = addresses(count + number("spares"))?;
+        // Asked for in one go: a second time could bring a voter's port once more, and whoever came later ended.
+        let mut at = addresses(voters + count + number("spares"))?;
+        let listens = at.split_off(voters);
         let mut files: Vec<String> = how.files.iter().map(|f| f.display().to_string()).collect();
         let mut all = Vec::new();
         for n in 0..voters + count + number("spares") {
