--- a/cli/tests/node.rs
+++ b/cli/tests/node.rs
@@ -1,4 +1,4 @@
-//! The binary as the platform starts it, on loopback, against scripted owners, machines and a coordinator.
+//! The binary as the platform starts it, on loopback, against scripted clients, machines and a coordinator.
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -7,7 +7,7 @@
 
 #[path = "../../platform/tests/stage/mod.rs"]
 mod stage;
-use stage::{configuration, entry, id, ready, said, set_up, update};
+use stage::{configuration, entry, id, ready, request, said, update};
 
 /// A planner's process with its configuration file; it ends with the test.
 struct Node {
@@ -116,10 +116,10 @@
     let (machine, coordinator) = (TcpListener::bind("127.0.0.1:0").unwrap(), free_address());
     let at = machine.local_addr().unwrap().to_string();
     let mut node = started("life", &coordinator, &[("a", &at)]);
-    let mut owner = Peer::to(&node);
-    owner.say(&said("probe", &id(1), json!({}), 0));
-    assert_eq!(owner.next("probed").unwrap()["code"], 1);
-    owner.say(&set_up(&id(2), json!({})));
+    let mut client = Peer::to(&node);
+    client.say(&said("probe", &id(1), json!({}), 0));
+    assert_eq!(client.next("probed").unwrap()["code"], 1);
+    client.say(&request(&id(2), json!({})));
     let mut link = Peer::new(machine.accept().unwrap().0);
     let open = link.next("open").unwrap();
     assert_eq!(open["text"], format!("{}\r\nc=IN IP4 10.0.0.1\r\n", id(2)));
@@ -128,15 +128,15 @@
         (&json!("small"), &json!("000000000000000a"))
     );
     link.say(&ready(&id(2), "taken\r\n"));
-    assert_eq!(owner.next("ready").unwrap()["text"], "taken\r\n");
+    assert_eq!(client.next("ready").unwrap()["text"], "taken\r\n");
     link.say(&said("close", &id(2), json!({}), 16));
-    assert_eq!(owner.next("close").unwrap()["code"], 16);
+    assert_eq!(client.next("close").unwrap()["code"], 16);
     signal(&node, "-TERM");
-    owner.say(&set_up(&id(3), json!({})));
+    client.say(&request(&id(3), json!({})));
     link.next("open").unwrap();
     link.say(&ready(&id(3), "stays"));
-    owner.next("ready").unwrap();
-    assert!(owner.next("close").is_none(), "what stands is left running");
+    client.next("ready").unwrap();
+    assert!(client.next("close").is_none(), "what stands is left running");
     assert!(node.child.wait().unwrap().success());
 }
 
@@ -157,8 +157,8 @@
     assert!(again.contains("follow=1&"), "{again}");
     reply(&stream, &update(5, &[entry("a", &at, "in_service", 0)]));
     assert!(asked(&stream).contains("follow=5&"));
-    let mut owner = Peer::to(&node);
-    owner.say(&set_up(&id(2), json!({})));
+    let mut client = Peer::to(&node);
+    client.say(&request(&id(2), json!({})));
     let mut link = Peer::new(machine.accept().unwrap().0);
     link.next("open").unwrap();
     let good = std::fs::read_to_string(&node.file).unwrap();
@@ -169,16 +169,16 @@
     signal(&node, "-HUP");
     assert!(call(&new).0.contains("follow=5&"));
     link.say(&ready(&id(2), "taken"));
-    assert_eq!(owner.next("ready").unwrap()["text"], "taken");
+    assert_eq!(client.next("ready").unwrap()["text"], "taken");
 }
 
-/// Hundreds of connections that say nothing, bodies without an end and noise cost the usual owner nothing.
+/// Hundreds of connections that say nothing, bodies without an end and noise cost the usual client nothing.
 #[test]
-fn strangers_are_closed_and_the_owner_is_served() {
+fn strangers_are_closed_and_the_client_is_served() {
     let (machine, coordinator) = (TcpListener::bind("127.0.0.1:0").unwrap(), free_address());
     let at = machine.local_addr().unwrap().to_string();
     let node = started("strangers", &coordinator, &[("a", &at)]);
-    let mut owner = Peer::to(&node);
+    let mut client = Peer::to(&node);
     // The machine takes what it is offered and answers tests all the while: unanswered, they cost the link.
     std::thread::spawn(move || {
         let mut link = Peer::new(machine.accept().unwrap().0);
@@ -186,8 +186,8 @@
             link.say(&ready(offer["sid"].as_str().unwrap(), "taken"));
         }
     });
-    owner.say(&set_up(&id(2), json!({})));
-    owner.next("ready").unwrap();
+    client.say(&request(&id(2), json!({})));
+    client.next("ready").unwrap();
     let silent: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(&node.listen).unwrap()).collect();
     let mut endless = TcpStream::connect(&node.listen).unwrap();
     let _ = endless.write_all(&vec![b'x'; 1 << 20]);
@@ -201,8 +201,8 @@
     }
     assert!(noise.next("none").is_none());
     // A new task, as how long strangers take to be closed is longer on some machines than a task may wait.
-    owner.say(&set_up(&id(4), json!({})));
-    assert_eq!(owner.next("ready").unwrap()["sid"], id(4));
+    client.say(&request(&id(4), json!({})));
+    assert_eq!(client.next("ready").unwrap()["sid"], id(4));
 }
 
 /// An answer that stops short on a connection left open took what was open there along until its time was up,
@@ -212,26 +212,26 @@
     let (machine, coordinator) = (TcpListener::bind("127.0.0.1:0").unwrap(), free_address());
     let at = machine.local_addr().unwrap().to_string();
     let node = started("half", &coordinator, &[("a", &at)]);
-    let mut owner = Peer::to(&node);
-    (2..4).for_each(|n| owner.say(&set_up(&id(n), json!({}))));
+    let mut client = Peer::to(&node);
+    (2..4).for_each(|n| client.say(&request(&id(n), json!({}))));
     let mut link = Peer::new(machine.accept().unwrap().0);
     (2..4).for_each(|_| drop(link.next("open").unwrap()));
     link.say(&ready(&id(2), "stands"));
-    owner.next("ready").unwrap();
+    client.next("ready").unwrap();
     link.read.get_mut().write_all(b"{\"msg\":\"ready\",\"sid\":\"00").unwrap();
     // Nothing more is said on it, not even to tests: that would end the line.
     link.read.read_to_end(&mut Vec::new()).expect("the link is given up");
     let mut next = Peer::new(machine.accept().unwrap().0);
     next.say(&said("close", &id(2), json!({}), 16));
     loop {
-        let end = owner.next("close").unwrap();
+        let end = client.next("close").unwrap();
         if end["sid"] == id(2) {
             break assert_eq!(end["code"], 16);
         }
     }
 }
 
-/// Killed outright, the next life starts from the configuration and what owners say stands.
+/// Killed outright, the next life starts from the configuration and what clients say stands.
 #[test]
 fn a_killed_planner_starts_again_from_nothing() {
     let (machine, coordinator) = (TcpListener::bind("127.0.0.1:0").unwrap(), free_address());
@@ -246,15 +246,15 @@
     while machine.accept().is_ok() {}
     machine.set_nonblocking(false).unwrap();
     let node = started("again", &coordinator, &[("a", &at)]);
-    let mut owner = Peer::to(&node);
+    let mut client = Peer::to(&node);
     let extras = "cores:1;memory:2;service:00000000000000b1;at:a";
-    owner.say(&set_up(&id(4), json!({"extras": extras, "left": "4294967"})));
+    client.say(&request(&id(4), json!({"extras": extras, "left": "4294967"})));
     // Once the task behind it is offered, that word was read: an end before it would be of nothing.
-    owner.say(&set_up(&id(5), json!({})));
+    client.say(&request(&id(5), json!({})));
     let mut link = Peer::new(machine.accept().unwrap().0);
     assert_eq!(link.next("open").unwrap()["sid"], id(5));
     link.say(&said("close", &id(4), json!({}), 16));
-    assert_eq!(owner.next("close").unwrap()["sid"], id(4));
+    assert_eq!(client.next("close").unwrap()["sid"], id(4));
 }
 
 #[test]
