--- a/cli/tests/node.rs
+++ b/cli/tests/node.rs
@@ -1,114 +1,11 @@
 //! The binary as the platform starts it, on loopback, against scripted clients, machines and a coordinator.
+mod wire;
 use serde_json::{json, Value};
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::Duration;
-
-#[path = "../../platform/tests/stage/mod.rs"]
-mod stage;
-use stage::{configuration, entry, id, ready, request, said, update};
-
-/// A planner's process with its configuration file; it ends with the test.
-struct Node {
-    child: Child,
-    listen: String,
-    file: std::path::PathBuf,
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
-fn free_address() -> String {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
-}
-
-fn started(name: &str, coordinator: &str, machines: &[(&str, &str)]) -> Node {
-    let listen = free_address();
-    let file = std::env::temp_dir().join(format!("basaltpitch-{}-{name}.json", std::process::id()));
-    std::fs::write(&file, configuration(&listen, coordinator, machines).to_string()).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_basaltpitch"))
-        .args(["--log", "info", "node"])
-        .env("PROXY_CONFIG", &file)
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
-    // It says that it serves once it listens.
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    log.read_line(&mut line).unwrap();
-    assert!(line.contains("planner serves"), "{line}");
-    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-    Node { child, listen, file }
-}
-
-/// One end of a conversation in lines.
-struct Peer {
-    read: BufReader<TcpStream>,
-}
-
-impl Peer {
-    fn new(stream: TcpStream) -> Peer {
-        stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-        Peer { read: BufReader::new(stream) }
-    }
-
-    fn to(node: &Node) -> Peer {
-        Peer::new(TcpStream::connect(&node.listen).unwrap())
-    }
-
-    fn say(&mut self, line: &str) {
-        self.read.get_mut().write_all(format!("{line}\n").as_bytes()).unwrap();
-    }
-
-    /// The next line of a kind; tests are passed on the way. `None` at the end of the stream.
-    fn next(&mut self, kind: &str) -> Option<Value> {
-        loop {
-            let mut line = String::new();
-            if self.read.read_line(&mut line).map_or(true, |n| n == 0) {
-                return None;
-            }
-            let found: Value = serde_json::from_str(&line).unwrap();
-            if found["msg"] == "probe" {
-                let id = found["sid"].as_str().unwrap().to_owned();
-                self.say(&said("probed", &id, json!({"load": "x0:16;x1:32"}), 1));
-            } else if found["msg"] == kind {
-                return Some(found);
-            }
-        }
-    }
-}
-
-/// One call of the coordinator's: what was asked, and the way to reply.
-fn call(listener: &TcpListener) -> (String, TcpStream) {
-    let (stream, _) = listener.accept().unwrap();
-    (asked(&stream), stream)
-}
-
-fn asked(stream: &TcpStream) -> String {
-    let mut read = BufReader::new(stream);
-    let mut first = String::new();
-    read.read_line(&mut first).unwrap();
-    let mut line = String::new();
-    while read.read_line(&mut line).unwrap() > 2 {
-        line.clear();
-    }
-    first
-}
-
-fn reply(mut stream: &TcpStream, body: &Value) {
-    let body = body.to_string();
-    write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()).unwrap();
-}
-
-fn signal(node: &Node, name: &str) {
-    assert!(Command::new("kill").args([name, &node.child.id().to_string()]).status().unwrap().success());
-}
+use wire::*;
 
 /// A task's whole life on sockets; then SIGTERM, after which what is open is answered and the program ends.
 #[test]
@@ -120,7 +17,7 @@
     client.say(&said("probe", &id(1), json!({}), 0));
     assert_eq!(client.next("probed").unwrap()["code"], 1);
     client.say(&request(&id(2), json!({})));
-    let mut link = Peer::new(machine.accept().unwrap().0);
+    let mut link = Peer::of(&machine);
     let open = link.next("open").unwrap();
     assert_eq!(open["text"], format!("{}\r\nc=IN IP4 10.0.0.1\r\n", id(2)));
     assert_eq!(
@@ -131,7 +28,7 @@
     assert_eq!(client.next("ready").unwrap()["text"], "taken\r\n");
     link.say(&said("close", &id(2), json!({}), 16));
     assert_eq!(client.next("close").unwrap()["code"], 16);
-    signal(&node, "-TERM");
+    node.signal("-TERM");
     client.say(&request(&id(3), json!({})));
     link.next("open").unwrap();
     link.say(&ready(&id(3), "stays"));
@@ -159,14 +56,14 @@
     assert!(asked(&stream).contains("follow=5&"));
     let mut client = Peer::to(&node);
     client.say(&request(&id(2), json!({})));
-    let mut link = Peer::new(machine.accept().unwrap().0);
+    let mut link = Peer::of(&machine);
     link.next("open").unwrap();
     let good = std::fs::read_to_string(&node.file).unwrap();
     std::fs::write(&node.file, "{\"coordinator\":").unwrap();
-    signal(&node, "-HUP");
+    node.signal("-HUP");
     let moved = good.replace(&old.local_addr().unwrap().to_string(), &new.local_addr().unwrap().to_string());
     std::fs::write(&node.file, moved).unwrap();
-    signal(&node, "-HUP");
+    node.signal("-HUP");
     assert!(call(&new).0.contains("follow=5&"));
     link.say(&ready(&id(2), "taken"));
     assert_eq!(client.next("ready").unwrap()["text"], "taken");
@@ -181,7 +78,7 @@
     let mut client = Peer::to(&node);
     // The machine takes what it is offered and answers tests all the while: unanswered, they cost the link.
     std::thread::spawn(move || {
-        let mut link = Peer::new(machine.accept().unwrap().0);
+        let mut link = Peer::of(&machine);
         while let Some(offer) = link.next("open") {
             link.say(&ready(offer["sid"].as_str().unwrap(), "taken"));
         }
@@ -214,14 +111,14 @@
     let node = started("half", &coordinator, &[("a", &at)]);
     let mut client = Peer::to(&node);
     (2..4).for_each(|n| client.say(&request(&id(n), json!({}))));
-    let mut link = Peer::new(machine.accept().unwrap().0);
+    let mut link = Peer::of(&machine);
     (2..4).for_each(|_| drop(link.next("open").unwrap()));
     link.say(&ready(&id(2), "stands"));
     client.next("ready").unwrap();
     link.read.get_mut().write_all(b"{\"msg\":\"ready\",\"sid\":\"00").unwrap();
     // Nothing more is said on it, not even to tests: that would end the line.
     link.read.read_to_end(&mut Vec::new()).expect("the link is given up");
-    let mut next = Peer::new(machine.accept().unwrap().0);
+    let mut next = Peer::of(&machine);
     next.say(&said("close", &id(2), json!({}), 16));
     loop {
         let end = client.next("close").unwrap();
@@ -251,7 +148,7 @@
     client.say(&request(&id(4), json!({"extras": extras, "left": "4294967"})));
     // Once the task behind it is offered, that word was read: an end before it would be of nothing.
     client.say(&request(&id(5), json!({})));
-    let mut link = Peer::new(machine.accept().unwrap().0);
+    let mut link = Peer::of(&machine);
     assert_eq!(link.next("open").unwrap()["sid"], id(5));
     link.say(&said("close", &id(4), json!({}), 16));
     assert_eq!(client.next("close").unwrap()["sid"], id(4));
