Module: a cold machine that bears an odd number of offers gets all of its turns

Need: where there are more planners than offers, planners take turns by the clock, half of the offers a slot. Half of one is none: a machine that bears one offer at a time got nothing from anybody until it was warm. Change: cold_budget_allows gives every second slot the odd offer; any window still lies across two slots at most. Test: 20, 25 and 30 instances of the module under one made-up clock, clocks up to 50 ms apart, starts learnt up to 2 s late, connections up to 250 ms late, a third of the planners restarted: the sum of arrivals in any window keeps N + 2 roots of N + 2 for eleven budgets from 1 to 61, and the machine gets at least a quarter of what the slots allow. Before: no arrival at all for a budget of 1. The budget itself was never passed, before or after: that lead was wrong.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -481,8 +481,11 @@
         let (bears, planners) = (self.rule("familyInfo.coldSends"), self.rule("nInstances").max(1.0));
         let (mut part, mut since) = ((bears / planners) as usize, self.now - window);
         if part == 0 {
-            let (slot, turns) = ((self.now / window) as u64, (bears / 2.0) as u64);
-            let first = (self.mac.number[m] % planners as u64 + slot * turns) % planners as u64;
+            // Of an odd number every second slot has one more: a machine that bears one is not left alone.
+            let (slot, bears) = ((self.now / window) as u64, bears as u64);
+            let (turns, begun) =
+                (bears / 2 + slot % 2 * (bears % 2), slot / 2 * bears + slot % 2 * (bears / 2));
+            let first = (self.mac.number[m] % planners as u64 + begun) % planners as u64;
             let after = (self.rule("myNumber") + planners) as u64 - first;
             part = usize::from(after % (planners as u64) < turns);
             since = slot as i64 * window - 1;
@@ -528,8 +531,8 @@
         }
     }
 
-    /// A machine looks at one offer at a time, so that an answer shows earlier ones to be lost on the way: their
-    /// launches are not waited for any longer.
+    /// A machine looks at one offer at a time, so that an answer shows earlier ones to be lost on the way:
+    /// their launches are not waited for any longer.
     fn overtaken(&mut self, m: usize, sent_at: i64) {
         let lost = |&o: &usize| {
             let t = &self.tasks[o];
@@ -840,8 +843,9 @@
         marks.iter().fold(0, |all, &mark| 2 * all + u8::from(mark))
     }
 
-    /// The fullest machines that the load of all would fill to FILLED: it is kept to them, as each machine that
-    /// holds a task has a price. Many planners can't keep up with a fleet and would all crowd the same few.
+    /// The fullest machines that the load of all would fill to FILLED: it is kept to them, as each machine
+    /// that holds a task has a price. Many planners can't keep up with a fleet and would all crowd the same
+    /// few.
     fn kept(&self, loads: &[(usize, Load)]) -> Vec<bool> {
         if self.probe_every() >= STALE {
             return vec![true; self.mac.listed.len()];
