--- a/cli/tests/node_connections.rs
+++ b/cli/tests/node_connections.rs
@@ -53,6 +53,39 @@
     }
 }
 
+/// A client that takes none of its answers is cut once its queue is full; the others are served all the while.
+#[test]
+fn a_client_that_takes_nothing_is_cut_and_costs_nobody_else() {
+    let (machine, at) = listener();
+    let node = started_with("takes-nothing", &free_address(), &[("a", &at)], quiet);
+    let small = json!({"extras": "cores:0.001;memory:0.001;service:00000000000000b1"});
+    let mut greedy = Peer::to(&node);
+    greedy.say(&request(&id(1), small.clone()));
+    let mut link = Peer::of(&machine);
+    let answering = std::thread::spawn(move || {
+        let text = "x".repeat(15_000);
+        while let Some(open) = link.next("open") {
+            link.say(&ready(open["sid"].as_str().unwrap(), &text));
+        }
+    });
+    let mut stream = greedy.stream().try_clone().unwrap();
+    for n in 2..2_000 {
+        let line = request(&id(n), small.clone());
+        let _ = stream.write_all(format!("{line}\n").as_bytes());
+    }
+    // Once it is cut, what is written to it fails.
+    let (until, line) = (Instant::now() + PATIENCE, said("probe", &id(1), json!({}), 0));
+    while stream.write_all(format!("{line}\n").as_bytes()).is_ok() {
+        assert!(Instant::now() < until, "it is never cut");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let mut other = Peer::to(&node);
+    other.say(&request(&id(5_000), small));
+    assert_eq!(other.next("ready").unwrap()["sid"], id(5_000));
+    drop((node, other));
+    answering.join().unwrap();
+}
+
 /// Idle clients and clients that read nothing fill the descriptors while discovery is down and machines are
 /// slow to come up: the coordinator is reached once it is back, and a new client is served.
 #[test]
