--- a/cli/tests/node_connections.rs
+++ b/cli/tests/node_connections.rs
@@ -3,7 +3,7 @@
 mod wire;
 use serde_json::json;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use wire::*;
 
@@ -90,16 +90,7 @@
 /// slow to come up: the coordinator is reached once it is back, and a new client is served.
 #[test]
 fn descriptors_are_left_for_discovery_and_new_clients() {
-    let slow: Vec<(socket2::Socket, TcpStream, String)> = (0..20)
-        .map(|_| {
-            let address = free_address();
-            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-            socket.bind(&address.parse::<SocketAddr>().unwrap().into()).unwrap();
-            socket.listen(0).unwrap();
-            let fills = TcpStream::connect(&address).unwrap();
-            (socket, fills, address)
-        })
-        .collect();
+    let slow: Vec<(TcpListener, TcpStream, String)> = (0..20).map(|_| full_listener()).collect();
     let names: Vec<String> = (0..slow.len()).map(|n| format!("m{n}")).collect();
     let machines: Vec<(&str, &str)> =
         names.iter().zip(&slow).map(|(n, s)| (n.as_str(), s.2.as_str())).collect();
@@ -133,11 +124,7 @@
 /// before it, the planner passes its first test in time.
 #[test]
 fn a_restarted_planner_is_ready_in_time_with_everything_down() {
-    let address = free_address();
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    socket.bind(&address.parse::<SocketAddr>().unwrap().into()).unwrap();
-    socket.listen(0).unwrap();
-    let _fills = TcpStream::connect(&address).unwrap();
+    let (_never, _fills, address) = full_listener();
     let names: Vec<String> = (0..50).map(|n| format!("m{n}")).collect();
     let machines: Vec<(&str, &str)> = names.iter().map(|n| (n.as_str(), address.as_str())).collect();
     let mut node = started("before", &free_address(), &machines);
--- a/cli/tests/node_departures.rs
+++ b/cli/tests/node_departures.rs
@@ -2,7 +2,7 @@
 //! waits. Each crossing is forced on sockets, against the real binary.
 mod wire;
 use serde_json::{json, Value};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 use wire::*;
@@ -114,13 +114,7 @@
 /// A request that was cancelled while its machine's connection was on its way up is not sent once it is up.
 #[test]
 fn what_was_taken_back_during_a_dial_is_not_sent() {
-    let address = free_address();
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    socket.bind(&address.parse::<SocketAddr>().unwrap().into()).unwrap();
-    socket.listen(0).unwrap();
-    let machine = TcpListener::from(socket);
-    // Its queue is full: the next connection comes up only once these were accepted.
-    let fills = TcpStream::connect(&address).unwrap();
+    let (machine, fills, address) = full_listener();
     let node = started_with("dial", &free_address(), &[("a", &address)], |c| {
         quiet(c);
         c["settings"]["permissions"]["connectTimeoutUs"] = json!(10_000_000);
--- a/cli/tests/wire/mod.rs
+++ b/cli/tests/wire/mod.rs
@@ -4,7 +4,7 @@
 #![allow(dead_code)]
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
@@ -46,6 +46,16 @@
     (TcpListener::bind(&address).unwrap(), address)
 }
 
+/// A listener whose queue is full: the next connection comes up only once it has accepted the one that fills it.
+pub fn full_listener() -> (TcpListener, TcpStream, String) {
+    let address = free_address();
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&address.parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let fills = TcpStream::connect(&address).unwrap();
+    (TcpListener::from(socket), fills, address)
+}
+
 pub fn started(name: &str, coordinator: &str, machines: &[(&str, &str)]) -> Node {
     started_with(name, coordinator, machines, |_| {})
 }
