Records: regions, heartbeat period, parts and a budget for control

The size that the users plan with needs settings that the installation's files did not know: regions of zones, how often links say that they live, in how many planners' parts a machine is, and what a planner may spend on what is no task's own.

All are off, or as before, where a file does not name them; nothing reads them yet. Regions must hold each zone once, parts need a council's seats; each fault names file, line, found and expected.

--- a/records/src/installation.rs
+++ b/records/src/installation.rs
@@ -69,6 +69,11 @@
         unique(all.list(list), list, &mut faults);
     }
     unique(all.list("tenants"), "tenants", &mut faults);
+    check_regions(all, &mut faults);
+    if let (Some(parts), None) = (all.get("parts"), all.get("council")) {
+        let what = "parts: found them without a council; expected one, as parts are dealt among its seats";
+        faults.push(Fault::new(parts.at, what));
+    }
     if let Some(council) = all.get("council") {
         let voters = council.list("voters");
         unique(voters, "council.voters", &mut faults);
@@ -152,6 +157,37 @@
     faults
 }
 
+/// Regions that are named hold each zone once.
+fn check_regions(all: &Settled, faults: &mut Vec<Fault>) {
+    let regions = all.list("regions");
+    unique(regions, "regions", faults);
+    let zones = all.texts("zones");
+    let mut seen: HashMap<String, Span> = HashMap::new();
+    for region in regions {
+        let name = region.text("name").unwrap_or("");
+        if region.list("zones").is_empty() {
+            faults
+                .push(Fault::new(region.at, format!("region {name}: found no zone; expected at least one")));
+        }
+        for (zone, at) in region.texts("zones") {
+            if !zones.iter().any(|z| z.0 == zone) {
+                let known: Vec<&str> = zones.iter().map(|z| z.0.as_str()).collect();
+                let what =
+                    format!("region {name}: found zone {zone:?}; expected one of {}", known.join(", "));
+                faults.push(Fault::new(at, what));
+            }
+            if let Some(first) = seen.insert(zone.clone(), at) {
+                let what =
+                    format!("region {name}: found zone {zone:?} a second time; expected it in one region");
+                faults.push(Fault::new(at, what).with(first, "the first"));
+            }
+        }
+    }
+    for (zone, at) in zones.iter().filter(|z| !regions.is_empty() && !seen.contains_key(&z.0)) {
+        faults.push(Fault::new(*at, format!("zone {zone}: found it in no region; expected it in one")));
+    }
+}
+
 fn check_day(day: &Settled, known: &impl Fn(&str) -> Vec<String>, faults: &mut Vec<Fault>) {
     let mut named = |of: &Settled, field: &str, list: &str| {
         if let Some(name) = of.text(field).filter(|n| !known(list).iter().any(|k| k == n)) {
@@ -226,6 +262,35 @@
         items.filter_map(|x| x.text("name").or(plain_text(x)).map(str::to_owned)).collect()
     }
 
+    /// Each region's name and zones, by their places among the zones; one region `all` where none is named.
+    pub fn regions(&self) -> Vec<(String, Vec<usize>)> {
+        let zones = self.names("zones");
+        let of = |region: &Settled| {
+            let place = |(name, _)| zones.iter().position(|z| *z == name);
+            let places = region.texts("zones").into_iter().filter_map(place).collect();
+            (region.text("name").unwrap_or("").to_owned(), places)
+        };
+        match self.all.list("regions") {
+            [] => vec![("all".into(), (0..zones.len()).collect())],
+            regions => regions.iter().map(of).collect(),
+        }
+    }
+
+    /// The period of heartbeats, in microseconds.
+    pub fn heartbeat_us(&self) -> i64 {
+        self.all.time("heartbeat").unwrap_or(250_000)
+    }
+
+    /// In so many planners' parts is each machine; none: planners work the whole fleet.
+    pub fn copies(&self) -> Option<usize> {
+        self.all.number("parts.copies").map(|n| n as usize)
+    }
+
+    /// Bytes a second that a planner may spend for control; none: no budget is set.
+    pub fn bytes_a_second(&self) -> Option<f64> {
+        self.all.number("control.bytes_a_second")
+    }
+
     pub fn reports(&self) -> Vec<String> {
         let named = self.names("machines.reports");
         if named.is_empty() {
--- a/records/tests/records.rs
+++ b/records/tests/records.rs
@@ -42,17 +42,17 @@
 fn types_bounds_and_closed_records() {
     expect![[r#"
         b.rec:1:14: rules.cold: found "soon"; expected 14s or a time such as 600ms at least 0s
-          built-in types:170:16: this is what it was to be unified with
+          built-in types:190:16: this is what it was to be unified with
     "#]]
     .assert_eq(&with("rules: cold: \"soon\""));
     expect![[r#"
         b.rec:1:17: launches.most: found 40; expected 3 or a whole number at least 1 and at most 16
-          built-in types:177:12: this is what it was to be unified with
+          built-in types:197:12: this is what it was to be unified with
     "#]]
     .assert_eq(&with("launches: most: 40"));
     expect![[r#"
         b.rec:1:14: found field rules.cald; expected one of drain_grace, answer_grace, cold, cold_offers, cold_window, settle
-          built-in types:164:9: the record is closed here
+          built-in types:184:9: the record is closed here
     "#]]
     .assert_eq(&with("rules: cald: 3s"));
 }
@@ -126,3 +126,40 @@
     "#]]
     .assert_eq(&faults(&[("a.rec", "zones: [\"a\"] kinds: [{name: \"s\", cores: 1, memory: 1}]\nframeworks: [{name: \"x\", repeat: \"repeatable\"}]")]));
 }
+
+#[test]
+fn regions_hold_each_zone_once_and_parts_need_a_council() {
+    let all = load_texts(&[("a.rec", GOOD)]).unwrap();
+    assert_eq!(all.regions(), [("all".to_owned(), vec![0, 1])], "one region where none is named");
+    assert_eq!((all.heartbeat_us(), all.copies(), all.bytes_a_second()), (250_000, None, None));
+    let council = "council: voters: [{name: \"v0\", address: \"127.0.0.1:1\"}]\n";
+    let more = "regions: [{name: \"east\", zones: [\"hall-b\"]}, {name: \"west\", zones: [\"hall-a\"]}]\n\
+                heartbeat: 2s\nparts: copies: 2\ncontrol: bytes_a_second: 4000\n";
+    let all = load_texts(&[("a.rec", GOOD), ("b.rec", more), ("c.rec", council)]).unwrap();
+    assert_eq!(all.regions(), [("east".to_owned(), vec![1]), ("west".to_owned(), vec![0])]);
+    assert_eq!((all.heartbeat_us(), all.copies()), (2_000_000, Some(2)));
+    assert_eq!(all.bytes_a_second(), Some(4000.0));
+    let wrong = with(
+        "regions: [{name: \"east\", zones: [\"hall-a\", \"hall-c\"]}, {name: \"west\", zones: [\"hall-a\"]}]\n\
+         parts: copies: 3",
+    );
+    expect![[r#"
+        b.rec:1:44: region east: found zone "hall-c"; expected one of hall-a, hall-b
+        b.rec:1:79: region west: found zone "hall-a" a second time; expected it in one region
+          b.rec:1:34: the first
+        a.rec:2:19: zone hall-b: found it in no region; expected it in one
+        b.rec:2:8: parts: found them without a council; expected one, as parts are dealt among its seats
+    "#]]
+    .assert_eq(&wrong);
+    expect![[r#"
+        b.rec:1:12: heartbeat: found 1ms; expected 250ms or a time such as 600ms at least 10ms and at most 60s
+          built-in types:164:13: this is what it was to be unified with
+    "#]]
+    .assert_eq(&with("heartbeat: 1ms"));
+    expect![[r#"
+        b.rec:1:11: region east: found no zone; expected at least one
+        a.rec:2:9: zone hall-a: found it in no region; expected it in one
+        a.rec:2:19: zone hall-b: found it in no region; expected it in one
+    "#]]
+    .assert_eq(&with("regions: [{name: \"east\", zones: []}]"));
+}
