Agent, planner: bytes and frames of all links counted by kind of frame

What a planner spends for control could not be told from what its tasks cost, nor heartbeats from lists: there was no count at all.

Bytes count as they are read from streams and handed to them, lengths before frames included; what is read and no whole frame yet is a kind of its own, so that the sum is what the streams carried at any moment. Links to machines, the register, other planners, voters, owners and operators count alike. `basaltpitch planner -o json` shows them under `traffic`; a voter answers an operator's query of `traffic`.

--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -1,7 +1,7 @@
 //! The agent protocol: between a planner and machines, the register, owners and operators. `session` is the
 //! conversation without I/O, `health` judges silence, `dial` says when to connect again, `link` carries a
-//! session over a stream on tokio, `accepting` takes in what connects. The frames are published in
-//! `proto/agent.proto`.
+//! session over a stream on tokio, `accepting` takes in what connects, `traffic` counts what all links carry.
+//! The frames are published in `proto/agent.proto`.
 pub mod accepting;
 pub mod dial;
 pub mod framing;
@@ -9,6 +9,7 @@
 pub mod holder;
 pub mod link;
 pub mod session;
+pub mod traffic;
 
 /// Types of the frames, made from `proto/agent.proto`.
 #[allow(clippy::large_enum_variant, clippy::doc_overindented_list_items)]
--- a/agent/src/link.rs
+++ b/agent/src/link.rs
@@ -1,5 +1,5 @@
 //! Carries a session over a stream on tokio: reads, writes, ticks. It decides nothing.
-use crate::session::{Event, Party, Session};
+use crate::session::{Event, Links, Party, Session};
 use crate::wire::Body;
 use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
@@ -51,9 +51,25 @@
 /// Bytes that are read at once.
 const READ: usize = 16 * 1024;
 
+/// Runs a session over a stream until it ends, as a link by itself: `run_among` for one of a process whose
+/// links have something in common.
+pub async fn run<S, N>(
+    stream: S,
+    me: Party,
+    clock: Clock,
+    orders: mpsc::Receiver<Order>,
+    news: mpsc::Sender<N>,
+    wrap: impl Fn(News) -> N,
+) where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    run_among(Links::default(), stream, me, clock, orders, news, wrap).await;
+}
+
 /// Runs a session over a stream until it ends. Orders come and news go by bounded channels; while the owner
 /// does not take the news, the peer is granted nothing more.
-pub async fn run<S, N>(
+pub async fn run_among<S, N>(
+    links: Links,
     mut stream: S,
     me: Party,
     clock: Clock,
@@ -63,7 +79,7 @@
 ) where
     S: AsyncRead + AsyncWrite + Unpin,
 {
-    let mut session = Session::new(me, clock.now());
+    let mut session = Session::among(links, me, clock.now());
     let mut buffer = vec![0; READ];
     let mut why = String::from("the owner of the link left");
     'on: loop {
--- a/agent/src/session.rs
+++ b/agent/src/session.rs
@@ -3,11 +3,13 @@
 //! frame, and knows of each frame that its caller marked whether a byte of it was handed to the stream: only
 //! what was not is proved never to have been received. Times are whole microseconds.
 use crate::health::{Health, State};
+use crate::traffic::{Kind, Traffic};
 use crate::wire::{Body, Credit, Frame, Goodbye, Heartbeat, Hello, Role};
 use crate::{MOST_FRAME, VERSION};
 use bytes::{Buf, BytesMut};
 use prost::Message;
 use std::collections::VecDeque;
+use std::rc::Rc;
 use tokio_util::codec::{Decoder, LengthDelimitedCodec};
 
 /// Time between this side's heartbeats.
@@ -17,6 +19,8 @@
 /// Bytes of frames that a side takes before it grants more, and that it keeps for a peer without credit.
 pub const WINDOW: u64 = 1 << 20;
 pub const MOST_HELD: usize = 4 << 20;
+/// Bytes of the length before each frame.
+const LENGTH: u64 = 4;
 
 /// Who speaks, on either side.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -29,6 +33,13 @@
     pub login: String,
 }
 
+/// What all links of a process have in common.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    /// Where they count what they carry.
+    pub traffic: Rc<Traffic>,
+}
+
 /// What a conversation tells its caller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -47,6 +58,7 @@
 
 pub struct Session {
     me: Party,
+    links: Links,
     peer: Option<Party>,
     codec: LengthDelimitedCodec,
     inbox: BytesMut,
@@ -69,11 +81,19 @@
     put: u64,
     written: u64,
     marks: VecDeque<(u64, u64)>,
+    /// Frames that are put out, with the bytes of each that are not written yet.
+    unwritten: VecDeque<(Kind, u64)>,
     closed: bool,
 }
 
 impl Session {
+    /// A conversation whose bytes are counted for itself alone.
     pub fn new(me: Party, now: i64) -> Self {
+        Session::among(Links::default(), me, now)
+    }
+
+    /// One of the links of a process.
+    pub fn among(links: Links, me: Party, now: i64) -> Self {
         let mut session = Session {
             codec: LengthDelimitedCodec::builder().max_frame_length(MOST_FRAME).new_codec(),
             peer: None,
@@ -94,7 +114,9 @@
             put: 0,
             written: 0,
             marks: VecDeque::new(),
+            unwritten: VecDeque::new(),
             closed: false,
+            links,
             me,
         };
         let me = &session.me;
@@ -113,6 +135,7 @@
 
     /// Bytes that came from the stream. What is no frame of this protocol ends the conversation.
     pub fn bytes(&mut self, now: i64, bytes: &[u8]) {
+        self.links.traffic.read(bytes.len() as u64);
         if self.closed {
             return;
         }
@@ -120,7 +143,11 @@
         while !self.closed {
             match self.codec.decode(&mut self.inbox) {
                 Ok(Some(frame)) => match Frame::decode(&frame[..]) {
-                    Ok(Frame { body: Some(body) }) => self.take(now, body, frame.len() as u64),
+                    Ok(Frame { body: Some(body) }) => {
+                        let size = frame.len() as u64;
+                        self.links.traffic.read_frame(Kind::of(&body), LENGTH + size);
+                        self.take(now, body, size);
+                    }
                     Ok(_) => self.refuse(
                         "a frame of a kind that version 1 does not know; expected one of agent.proto",
                     ),
@@ -216,6 +243,7 @@
     }
 
     fn put_out(&mut self, frame: &Frame, mark: Option<u64>) {
+        let Some(body) = &frame.body else { return };
         if let Some(mark) = mark {
             self.marks.push_back((self.put, mark));
         }
@@ -223,7 +251,9 @@
         self.outbox.extend_from_slice(&(size as u32).to_be_bytes());
         self.outbox.reserve(size);
         frame.encode(&mut self.outbox).expect("a buffer that grows");
-        self.put += size as u64 + 4;
+        let size = size as u64 + LENGTH;
+        self.put += size;
+        self.unwritten.push_back((Kind::of(body), size));
     }
 
     /// The next event. A frame counts as taken in here, so that a caller who does not ask grants nothing.
@@ -246,6 +276,16 @@
     pub fn wrote(&mut self, bytes: usize) {
         self.outbox.advance(bytes);
         self.written += bytes as u64;
+        let mut bytes = bytes as u64;
+        while let Some((kind, left)) = self.unwritten.front_mut().filter(|_| bytes > 0) {
+            let of = bytes.min(*left);
+            (bytes, *left) = (bytes - of, *left - of);
+            let last = *left == 0;
+            self.links.traffic.wrote(*kind, of, last);
+            if last {
+                self.unwritten.pop_front();
+            }
+        }
         while self.marks.front().is_some_and(|&(at, _)| at < self.written) {
             self.marks.pop_front();
         }
--- a/cli/src/roll.rs
+++ b/cli/src/roll.rs
@@ -4,7 +4,7 @@
 use crate::council::{needed, records};
 use crate::{load, Failure};
 use basaltpitch_agent::link::Clock;
-use basaltpitch_agent::session::Party;
+use basaltpitch_agent::session::{Links, Party};
 use basaltpitch_agent::wire::{self, Role};
 use basaltpitch_council::{agreed, Terms};
 use basaltpitch_planner::council::{self, Duty, Tenure, Wish};
@@ -91,6 +91,7 @@
         follows: Vec::new(),
         acts: Some(acts),
         me,
+        links: Links::default(),
         seed: epoch,
     };
     let ((words, _words), (wishes, wishes_in)) = (mpsc::channel(1), mpsc::channel(4));
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -2,7 +2,7 @@
 use crate::council::{council_of, open, seats, told_to_stop, SEATS};
 use crate::{load, Failure};
 use basaltpitch::host::{Given, Value};
-use basaltpitch_agent::session::Party;
+use basaltpitch_agent::session::{Links, Party};
 use basaltpitch_agent::wire::Role;
 use basaltpitch_planner::core::Who;
 use basaltpitch_planner::council::{self, Tenure, Wish, Word};
@@ -68,6 +68,8 @@
     epoch: u64,
     /// Of a seat.
     under: Option<Under>,
+    /// What all links of the process share.
+    links: Links,
 }
 
 /// What a life under a seat has beside its name.
@@ -109,6 +111,7 @@
             tried.map_err(|e| Failure::Wrong(format!("--listen {}: {e}", self.listen)))?;
         }
         let council = council_of(&installation);
+        let links = Links::default();
         match (&self.name, &self.seat, council) {
             // Two planners under one number would each spend the whole of its part of the budgets.
             (Some(name), _, Some(_)) => Err(Failure::Wrong(format!(
@@ -143,6 +146,7 @@
                     words,
                     acts: None,
                     me,
+                    links: links.clone(),
                     seed,
                 };
                 let local = tokio::task::LocalSet::new();
@@ -151,7 +155,7 @@
             (Some(name), None, None) => {
                 let (name, number) = (name.clone(), self.number);
                 let epoch = self.epoch.unwrap_or(started);
-                let life = Life { name, number, epoch, under: None };
+                let life = Life { name, number, epoch, under: None, links };
                 let stop = async {
                     let _ = tokio::signal::ctrl_c().await;
                 };
@@ -169,6 +173,7 @@
         start: council::Start,
         json: bool,
     ) -> Result<(), Failure> {
+        let links = start.links.clone();
         let (tenure, (words_out, mut words), (wishes, wishes_in)) =
             (Tenure::default(), mpsc::channel(16), mpsc::channel(16));
         let council = tokio::task::spawn_local(council::run(start, tenure.clone(), words_out, wishes_in));
@@ -192,7 +197,8 @@
             let grace = installation.all.time("rules.drain_grace").unwrap_or(0);
             let duties = Duties { heard, wishes: wishes.clone(), sizes, grace };
             let under = Some(Under { tenure: tenure.clone(), duties, seats: all.to_vec() });
-            let life = Life { name: seat.to_string(), number, epoch: token, under };
+            let links = links.clone();
+            let life = Life { name: seat.to_string(), number, epoch: token, under, links };
             let mut ends = false;
             let stop = async {
                 tokio::select! {
@@ -221,7 +227,7 @@
         stop: impl Future<Output = ()>,
         json: bool,
     ) -> Result<(), Failure> {
-        let Life { name, number, epoch, under } = life;
+        let Life { name, number, epoch, under, links } = life;
         let planners = installation.all.number("planners").unwrap_or(1.0) as usize;
         if number >= planners {
             let most = planners - 1;
@@ -282,7 +288,8 @@
         };
         let (tenure, duties, meeting) = under.map_or((None, None, None), meets);
         let weighs = installation.all.text("admission") != Some("none");
-        let start = Start { who, given, record, clauses, directory, store, tenure, duties, weighs, meeting };
+        let start =
+            Start { who, given, record, clauses, directory, store, tenure, duties, weighs, meeting, links };
         service::serve(listener, start, stop).await;
         Ok(())
     }
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -3,7 +3,7 @@
 //! for and what is held.
 use crate::voters::{awake, follow, member_name, Heard, Way};
 use basaltpitch_agent::link::{Clock, Order};
-use basaltpitch_agent::session::Party;
+use basaltpitch_agent::session::{Links, Party};
 use basaltpitch_agent::wire::{self, Body};
 use basaltpitch_council::member::{Call, Member};
 use basaltpitch_council::seats::Seats;
@@ -34,6 +34,8 @@
     pub acts: Option<mpsc::Sender<Duty>>,
     /// Who it is: a name of its own and the time of its start.
     pub me: Party,
+    /// What its links to voters share with the others of the process.
+    pub links: Links,
     pub seed: u64,
 }
 
@@ -134,11 +136,12 @@
 
 /// Takes a seat when one is free, holds it, and says when it is lost; until `wishes` ends or says to leave.
 pub async fn run(start: Start, tenure: Tenure, words: mpsc::Sender<Word>, mut wishes: mpsc::Receiver<Wish>) {
-    let Start { terms, voters, seats, duties, follows, peers, words: of_words, acts, me, seed } = start;
+    let Start { terms, voters, seats, duties, follows, peers, words: of_words, acts, me, links, seed } =
+        start;
     let clock = Clock::start();
     let (heard_out, mut heard) = mpsc::channel(INBOX);
     for (v, way) in voters.iter().enumerate() {
-        tokio::task::spawn_local(follow(v, way.clone(), me.clone(), clock, heard_out.clone()));
+        tokio::task::spawn_local(follow(v, way.clone(), links.clone(), me.clone(), clock, heard_out.clone()));
     }
     let mut a = Actor {
         term: terms.term,
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -12,7 +12,7 @@
 use basaltpitch::host::Given;
 use basaltpitch_agent::accepting::Accepting;
 use basaltpitch_agent::link::{self, Clock, News, Order};
-use basaltpitch_agent::session::{Event, Party};
+use basaltpitch_agent::session::{Event, Links, Party};
 use basaltpitch_agent::wire::{Body, Role};
 use basaltpitch_clauses::Clause;
 use basaltpitch_directory::{Before, Directory, Fault, Seen, Swept};
@@ -69,6 +69,8 @@
     pub weighs: bool,
     /// How it meets the other planners, under a seat.
     pub meeting: Option<Meeting>,
+    /// What its links share with the others of the process.
+    pub links: Links,
 }
 
 /// Names of what is remembered of tenants: all of it, and when it was last heard in full.
@@ -176,6 +178,7 @@
     core: Core,
     clock: Clock,
     me: Party,
+    links: Links,
     /// Machines and the register that are dialled or linked.
     linked: HashMap<usize, Linked>,
     conns: HashMap<u64, mpsc::Sender<Order>>,
@@ -195,7 +198,8 @@
 }
 
 async fn actor(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
-    let Start { who, given, record, clauses, directory, store, tenure, duties, weighs, meeting } = start;
+    let Start { who, given, record, clauses, directory, store, tenure, duties, weighs, meeting, links } =
+        start;
     let clock = Clock::start();
     let me = Party {
         role: Role::Planner,
@@ -222,15 +226,16 @@
         Sweeps { directory, seen, under: None, news }
     });
     let memories = store.map(writer);
-    let (peers, links) = (HashMap::new(), HashMap::new());
+    let (linked, conns) = (HashMap::new(), HashMap::new());
     let rolls = duties.map(Rolls::new);
     let others = meeting.map(|meeting| Peers::new(clock.now(), meeting, epoch, seed));
     let mut a = Actor {
         core,
         clock,
         me,
-        linked: peers,
-        conns: links,
+        links,
+        linked,
+        conns,
         first,
         sweeps,
         memories,
@@ -295,8 +300,9 @@
         let (orders, inbox) = mpsc::channel(ORDERS);
         self.conns.insert(conn, orders);
         let news = self.later.clone();
-        let (me, clock) = (self.me.clone(), self.clock);
-        tokio::task::spawn_local(link::run(stream, me, clock, inbox, news, move |n| (From::Conn(conn), n)));
+        let (links, me, clock) = (self.links.clone(), self.me.clone(), self.clock);
+        let wrap = move |n| (From::Conn(conn), n);
+        tokio::task::spawn_local(link::run_among(links, stream, me, clock, inbox, news, wrap));
     }
 
     fn dial(&mut self, peer: usize, link: u64, name: &str, address: &str) {
@@ -322,7 +328,7 @@
         news: mpsc::Sender<(From, News)>,
     ) {
         let me = Party { link, ..self.me.clone() };
-        let clock = self.clock;
+        let (links, clock) = (self.links.clone(), self.clock);
         let within = Duration::from_micros(self.core.connect_us() as u64);
         let address = address.to_owned();
         let wrap = move |n| (from, n);
@@ -330,7 +336,7 @@
             let why = match tokio::time::timeout(within, TcpStream::connect(&address)).await {
                 Ok(Ok(stream)) => {
                     let _ = stream.set_nodelay(true);
-                    return link::run(stream, me, clock, inbox, news, wrap).await;
+                    return link::run_among(links, stream, me, clock, inbox, news, wrap).await;
                 }
                 Ok(Err(e)) => format!("no connection: {e}"),
                 Err(_) => "no connection in time".into(),
@@ -506,8 +512,14 @@
             }
             News::Session(Event::Up(party)) => self.core.conn_up(conn, &party.login),
             News::Session(Event::Frame(body)) => {
-                let others = || self.peers.as_ref().map(|p| p.view(now));
-                if let Err(e) = view::conn_frame(&mut self.core, now, conn, body, others) {
+                let beside = || {
+                    let mut told = serde_json::json!({"traffic": view::traffic(&self.links.traffic)});
+                    if let Some(peers) = &self.peers {
+                        told["others"] = peers.view(now);
+                    }
+                    Some(told)
+                };
+                if let Err(e) = view::conn_frame(&mut self.core, now, conn, body, beside) {
                     tracing::warn!(conn, error = e, "a question that makes no sense");
                     self.close_conn(conn, &e);
                 }
--- a/planner/src/view.rs
+++ b/planner/src/view.rs
@@ -1,6 +1,7 @@
 //! What a planner tells operators, as JSON.
 use crate::core::{kind_words, Core, MOST_ROWS};
 use basaltpitch::host::Readiness;
+use basaltpitch_agent::traffic::{Kind, Traffic};
 use basaltpitch_agent::wire::Body;
 use basaltpitch_ledger::{CopyState, Phase};
 use serde_json::{json, Value};
@@ -9,15 +10,15 @@
     (x * 1000.0).round() / 1000.0
 }
 
-/// A frame of an owner's or operator's: a question is answered, all else is the core's. `others` tells what is known of
-/// other planners. An error names field,
-/// what was found and what was expected.
+/// A frame of an owner's or operator's: a question is answered, all else is the core's. `beside`: an
+/// object with what is told of a planner beside what its core knows. An error names field, what was found and
+/// what was expected.
 pub fn conn_frame(
     core: &mut Core,
     now: i64,
     conn: u64,
     body: Body,
-    others: impl FnOnce() -> Option<Value>,
+    beside: impl FnOnce() -> Option<Value>,
 ) -> Result<(), String> {
     let Body::Query(q) = body else { return core.conn_frame(now, conn, body) };
     core.set_clock(now);
@@ -26,8 +27,8 @@
         "explain" => explain(core, &login, &q.about)?,
         "planner" => {
             let mut told = planner(core);
-            if let Some(others) = others() {
-                told["others"] = others;
+            if let (Value::Object(told), Some(Value::Object(mut beside))) = (&mut told, beside()) {
+                told.append(&mut beside);
             }
             told.to_string()
         }
@@ -106,6 +107,19 @@
     })
 }
 
+/// What the links of a process carried since it began, by kind of frame.
+pub fn traffic(traffic: &Traffic) -> Value {
+    let row = |kind: Kind| {
+        let c = traffic.of(kind);
+        let row = json!({
+            "bytes_in": c.bytes_in, "bytes_out": c.bytes_out,
+            "frames_in": c.frames_in, "frames_out": c.frames_out,
+        });
+        (kind.word().to_owned(), row)
+    };
+    Value::Object(Kind::ALL.into_iter().map(row).collect())
+}
+
 fn machines(core: &Core) -> Value {
     let now = core.clock_now();
     let ms = |at: i64| if at > 0 { json!((now - at) / 1000) } else { Value::Null };
--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -3,7 +3,7 @@
 use crate::voters::{awake, follow, member_name, Heard, Way};
 use basaltpitch_agent::accepting::Accepting;
 use basaltpitch_agent::link::{self, Clock, News, Order};
-use basaltpitch_agent::session::{Event, Party};
+use basaltpitch_agent::session::{Event, Links, Party};
 use basaltpitch_agent::wire::{self, Body, Role};
 use basaltpitch_council::voter::{Kept, Voter};
 use basaltpitch_council::{Answer, Note, Terms};
@@ -55,6 +55,7 @@
     /// The other voters that are linked, by their place among all.
     others: HashMap<usize, mpsc::Sender<Order>>,
     store: Option<Store>,
+    links: Links,
 }
 
 /// Votes until `stop` is done.
@@ -126,13 +127,15 @@
     let (news, mut inbox) = mpsc::channel(INBOX);
     let (heard, mut voters) = mpsc::channel(INBOX);
     let (conns, others) = (HashMap::new(), HashMap::new());
-    let mut a = Actor { term: start.terms.term, voter, past, conns, others, store: start.store };
+    let links_of = Links::default();
+    let mut a =
+        Actor { term: start.terms.term, voter, past, conns, others, store: start.store, links: links_of };
     tracing::info!(whole = a.voter.is_whole(), "the voter begins");
     // Links to the other voters, while there is something to learn from them.
     let mut links = tokio::task::JoinSet::new();
     if !a.voter.is_whole() {
         for (n, way) in start.voters.iter().enumerate().filter(|v| v.0 != start.me) {
-            links.spawn_local(follow(n, way.clone(), me.clone(), clock, heard.clone()));
+            links.spawn_local(follow(n, way.clone(), a.links.clone(), me.clone(), clock, heard.clone()));
         }
     }
     let mut asks = tokio::time::interval(ASKS_EVERY);
@@ -167,8 +170,9 @@
                 let conn: u64 = conns;
                 let (orders, orders_in) = mpsc::channel(ORDERS);
                 a.conns.insert(conn, Conn { orders, party: None });
-                let (me, news, wrap) = (me.clone(), news.clone(), move |n| (conn, n));
-                tokio::task::spawn_local(link::run(stream, me, clock, orders_in, news, wrap));
+                let (links, me, news) = (a.links.clone(), me.clone(), news.clone());
+                let wrap = move |n| (conn, n);
+                tokio::task::spawn_local(link::run_among(links, stream, me, clock, orders_in, news, wrap));
             }
         }
     }
@@ -332,9 +336,14 @@
                 replies.push((conn, Body::Kept(kept(&self.voter, &self.past, now, &r))));
                 false
             }
+            Body::Query(q) if q.what == "traffic" => {
+                let json = crate::view::traffic(&self.links.traffic).to_string();
+                replies.push((conn, Body::Told(wire::Told { json, more: false })));
+                false
+            }
             _ => {
                 let why = "found a frame that no voter takes; expected ballots (a duty of up to 200 bytes, \
-                           a note of up to 64 KiB), give_back, hand_on or record";
+                           a note of up to 64 KiB), give_back, hand_on, record or a query of traffic";
                 tracing::warn!(peer = party.name, why);
                 if let Some(c) = self.conns.get(&conn) {
                     let _ = c.orders.try_send(Order::Close(why.into()));
--- a/planner/src/voters.rs
+++ b/planner/src/voters.rs
@@ -1,7 +1,7 @@
 //! Links to the voters, as planners, spares and other voters keep them; and the clock and the names that
 //! votes go by.
 use basaltpitch_agent::link::{self, Clock, News, Order};
-use basaltpitch_agent::session::{Event, Party};
+use basaltpitch_agent::session::{Event, Links, Party};
 use basaltpitch_agent::wire::{self, Body};
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,14 +33,14 @@
 }
 
 /// Runs one link: orders in, news out; `Ended` is the last of them.
-fn dial(way: Way, me: Party, clock: Clock) -> (mpsc::Sender<Order>, mpsc::Receiver<News>) {
+fn dial(way: Way, links: Links, me: Party, clock: Clock) -> (mpsc::Sender<Order>, mpsc::Receiver<News>) {
     let (orders, orders_in) = mpsc::channel(ORDERS);
     let (news_out, news) = mpsc::channel(INBOX);
     tokio::task::spawn_local(async move {
         let why = match tokio::time::timeout(CONNECTS, TcpStream::connect(&way.address)).await {
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
-                return link::run(stream, me, clock, orders_in, news_out, |n| n).await;
+                return link::run_among(links, stream, me, clock, orders_in, news_out, |n| n).await;
             }
             Ok(Err(e)) => format!("no connection: {e}"),
             Err(_) => "no connection in time".into(),
@@ -58,11 +58,18 @@
 }
 
 /// Keeps a link to one voter, whose place among all is `v`.
-pub(crate) async fn follow(v: usize, way: Way, me: Party, clock: Clock, heard: mpsc::Sender<(usize, Heard)>) {
-    let mut links = 0;
+pub(crate) async fn follow(
+    v: usize,
+    way: Way,
+    links: Links,
+    me: Party,
+    clock: Clock,
+    heard: mpsc::Sender<(usize, Heard)>,
+) {
+    let mut link = 0;
     loop {
-        links += 1;
-        let (orders, mut news) = dial(way.clone(), Party { link: links, ..me.clone() }, clock);
+        link += 1;
+        let (orders, mut news) = dial(way.clone(), links.clone(), Party { link, ..me.clone() }, clock);
         while let Some(news) = news.recv().await {
             let word = match news {
                 News::Session(Event::Up(party))
--- a/planner/tests/sockets.rs
+++ b/planner/tests/sockets.rs
@@ -2,7 +2,7 @@
 //! for the frame that it wants, within a bound.
 use basaltpitch::host::{Given, Value};
 use basaltpitch_agent::link::{self, Clock, News, Order};
-use basaltpitch_agent::session::{Event, Party};
+use basaltpitch_agent::session::{Event, Links, Party};
 use basaltpitch_agent::wire::{self, AnswerKind, Body, LifeHow, Role};
 use basaltpitch_planner::core::Who;
 use basaltpitch_planner::service::{serve, Start};
@@ -60,6 +60,7 @@
         duties: None,
         weighs: false,
         meeting: None,
+        links: Links::default(),
     };
     tokio::task::spawn_local(serve(listener, start, std::future::pending()));
     (address, world)
@@ -222,6 +223,16 @@
                 other => panic!("{other:?}"),
             }
         }
+        // Its links to machines, register, owner and operator all count.
+        operator.say(Body::Query(wire::Query { what: "planner".into(), about: String::new() })).await;
+        let Ok(Body::Told(told)) = operator.hear().await else { panic!("no answer") };
+        let told: serde_json::Value = serde_json::from_str(&told.json).unwrap();
+        let frames = |kind: &str, way: &str| told["traffic"][kind][way].as_u64().unwrap();
+        assert_eq!(frames("operators", "frames_in"), 4, "{told}");
+        assert!(frames("inventories", "frames_in") >= 1, "{told}");
+        // Submit, yes; launch, answer.
+        assert!(frames("tasks", "frames_in") >= 2 && frames("tasks", "frames_out") >= 2, "{told}");
+        assert!(frames("lists", "frames_in") >= 1 && frames("lists", "bytes_in") > 10, "{told}");
         operator.say(Body::Query(wire::Query { what: "weather".into(), about: String::new() })).await;
         assert!(operator
             .hear()
