Agent: heartbeats by a period that the hello says, and empty

Each link beat each 250 ms in both directions, whatever the installation wants: at hundreds of links that alone is over the budget for control.

Hello says the sender's period (`heartbeat_us`). Both sides beat by the longer one of the two and judge silence by it: so both come to the same without knowing who dialled, and a planner's setting rules both directions of its links to machines, register, voters and planners. Out of 10 ms to 60 s ends the connection with a goodbye. A peer without the field, or with 0, is an older build: with it both sides go by 250 ms, as it does, with rising numbers. `serve` says `heartbeat` of the installation; all else says 250 ms, the default, so drills go on as before.

With the field a heartbeat carries no number: nothing but the refusal read it, and a stream neither doubles nor reorders. Six bytes instead of twelve (fourteen from the 16384th on). A beat is not left out where another frame just went: health learns how even a link is from beats alone, and at a second's period few links carry a frame in each.

--- a/agent/src/session.rs
+++ b/agent/src/session.rs
@@ -12,8 +12,10 @@
 use std::rc::Rc;
 use tokio_util::codec::{Decoder, LengthDelimitedCodec};
 
-/// Time between this side's heartbeats.
+/// The usual period of heartbeats, which older builds go by.
 pub const BEAT: i64 = 250_000;
+/// A side that says another period is not talked to.
+pub const BEATS: std::ops::RangeInclusive<i64> = 10_000..=60_000_000;
 /// A hello must come within this time.
 pub const HELLO_WITHIN: i64 = 2_000_000;
 /// Bytes of frames that a side takes before it grants more, and that it keeps for a peer without credit.
@@ -34,12 +36,20 @@
 }
 
 /// What all links of a process have in common.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Links {
+    /// The period of their heartbeats, in microseconds within `BEATS`; a peer may say a longer one.
+    pub heartbeat_us: i64,
     /// Where they count what they carry.
     pub traffic: Rc<Traffic>,
 }
 
+impl Default for Links {
+    fn default() -> Self {
+        Links { heartbeat_us: BEAT, traffic: Rc::default() }
+    }
+}
+
 /// What a conversation tells its caller.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -67,7 +77,11 @@
     health: Health,
     told: State,
     opened_at: i64,
+    /// The period that both sides go by.
+    beat: i64,
     beat_at: i64,
+    /// The peer is an older build: heartbeats have numbers.
+    numbers: bool,
     seq: u64,
     seen: u64,
     /// Bytes that may still be sent, and bytes taken in that were not granted anew.
@@ -103,7 +117,9 @@
             health: Health::new(now, BEAT),
             told: State::Well,
             opened_at: now,
+            beat: BEAT,
             beat_at: now,
+            numbers: true,
             seq: 0,
             seen: 0,
             credit: 0,
@@ -128,6 +144,7 @@
             link: me.link,
             credit: WINDOW,
             login: me.login.clone(),
+            heartbeat_us: session.links.heartbeat_us,
         };
         session.put_out(&Body::Hello(hello).into(), None);
         session
@@ -167,10 +184,11 @@
     fn take(&mut self, now: i64, body: Body, size: u64) {
         self.health.heard(now, matches!(body, Body::Heartbeat(_)));
         match (body, self.peer.is_some()) {
-            (Body::Hello(hello), false) => self.greet(hello),
+            (Body::Hello(hello), false) => self.greet(now, hello),
             (Body::Hello(_), true) => self.refuse("a second hello; expected one a connection"),
             (Body::Goodbye(bye), _) => self.close(format!("the peer said goodbye: {}", bye.reason)),
             (_, false) => self.refuse("a frame before the hello; expected a hello first"),
+            (Body::Heartbeat(beat), _) if beat.seq == 0 && !self.numbers => {}
             (Body::Heartbeat(beat), _) if beat.seq <= self.seen => {
                 self.refuse(&format!("heartbeat {} after {}; expected a higher number", beat.seq, self.seen));
             }
@@ -190,7 +208,7 @@
         }
     }
 
-    fn greet(&mut self, hello: Hello) {
+    fn greet(&mut self, now: i64, hello: Hello) {
         let role = Role::try_from(hello.role).unwrap_or(Role::Unknown);
         if hello.version != VERSION {
             return self.refuse(&format!("hello: version {}; expected {VERSION}", hello.version));
@@ -202,6 +220,16 @@
             return self
                 .refuse(&format!("hello: login of {} bytes; expected 200 at most", hello.login.len()));
         }
+        if hello.heartbeat_us != 0 {
+            if !BEATS.contains(&hello.heartbeat_us) {
+                let (found, least, most) = (hello.heartbeat_us, BEATS.start(), BEATS.end());
+                return self
+                    .refuse(&format!("hello: heartbeat_us of {found}; expected {least} to {most}, or none"));
+            }
+            // The longer one: an older build aside, both sides come to the same.
+            (self.beat, self.numbers) = (self.links.heartbeat_us.max(hello.heartbeat_us), false);
+            self.health = Health::new(now, self.beat);
+        }
         self.credit = hello.credit.min(16 * WINDOW);
         let peer = Party { role, name: hello.name, epoch: hello.epoch, link: hello.link, login: hello.login };
         self.peer = Some(peer.clone());
@@ -303,11 +331,12 @@
             return;
         }
         if now >= self.beat_at {
-            self.seq += 1;
+            self.seq += u64::from(self.numbers);
             let beat = Heartbeat { seq: self.seq, seen: self.seen };
             self.put_out(&Body::Heartbeat(beat).into(), None);
-            // By the clock, not after the last one; beats that were missed are not made up.
-            self.beat_at = (self.beat_at + BEAT).max(now + BEAT / 2);
+            // By the clock, not after the last one; beats that were missed are not made up. Also where another
+            // frame went out a moment ago: how even a link is, is learnt from heartbeats.
+            self.beat_at = (self.beat_at + self.beat).max(now + self.beat / 2);
         }
         let state = self.health.judge(now);
         if state == State::Lost {
--- a/agent/tests/session.rs
+++ b/agent/tests/session.rs
@@ -44,6 +44,7 @@
         link: 1,
         credit: WINDOW,
         login: String::new(),
+        heartbeat_us: 0,
     }))
 }
 
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -111,7 +111,7 @@
             tried.map_err(|e| Failure::Wrong(format!("--listen {}: {e}", self.listen)))?;
         }
         let council = council_of(&installation);
-        let links = Links::default();
+        let links = Links { heartbeat_us: installation.heartbeat_us(), ..Links::default() };
         match (&self.name, &self.seat, council) {
             // Two planners under one number would each spend the whole of its part of the budgets.
             (Some(name), _, Some(_)) => Err(Failure::Wrong(format!(
