Measure-scale: a fleet of full size, most of it hollow, lays out and is measured

Nothing showed what a planner costs beside 2,100 machines and 83 other planners. `basaltpitch measure-scale` lays them out on loopback: hollow machines, many in a process, by the real link and holder; a register that numbers changes in place of a copy of the list for each watcher; hollow planners, each by the command `serve` as it stands on a thread of its own; voters, and a few planners of their own, which are measured. Clients ask by an open loop. Bytes and frames of the measured planners are counted by kind at the far ends of their links. Words end all processes with the run. Bad options are refused before anything is started.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod machine;
 mod measure;
 mod measure_council;
+mod measure_scale;
 mod measure_seats;
 mod node;
 mod processes;
@@ -84,6 +85,11 @@
     MeasureSeats(measure_seats::Measure),
     /// Measure what the council costs members and voters, by the number of members
     MeasureCouncil(measure_council::Measure),
+    /// Measure planners, voters and the register in a fleet of full size, most of it hollow
+    MeasureScale(measure_scale::Measure),
+    /// Hollow machines, their register, planners and clients: what `measure-scale` starts
+    #[command(hide = true, subcommand)]
+    Hollow(measure_scale::hollow::Hollow),
     /// Tell the decisions what a recording holds and compare their calls
     Replay { file: PathBuf },
 }
@@ -131,6 +137,8 @@
         Command::Measure(measure) => measure.run(json),
         Command::MeasureSeats(measure) => measure.run(json),
         Command::MeasureCouncil(measure) => measure.run(json),
+        Command::MeasureScale(measure) => measure.run(json),
+        Command::Hollow(hollow) => hollow.run(),
         Command::Replay { file } => replay(&file, json),
     };
     match done {
--- /dev/null
+++ b/cli/src/measure_scale/hollow.rs
@@ -0,0 +1,219 @@
+//! The processes of a scale run: hollow machines, their register, planners and clients. Each takes words on
+//! standard input, a line each, answers on standard output in JSON, and ends when there are no more words.
+use super::site;
+use crate::serve::Serve;
+use crate::{load, Failure};
+use basaltpitch_standins::hollow::{clients, machines, register};
+use clap::Parser;
+use serde_json::{json, Value};
+use std::io::{BufRead, Write};
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+#[derive(clap::Subcommand)]
+pub enum Hollow {
+    Machines(Machines),
+    Register,
+    Planners(Planners),
+    Clients(Clients),
+}
+
+#[derive(clap::Args)]
+pub struct Machines {
+    file: PathBuf,
+    #[arg(long)]
+    first: usize,
+    #[arg(long)]
+    count: usize,
+    /// Where the register listens; without one the machines are only printed
+    #[arg(long)]
+    register: Option<String>,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Restarts of each machine an hour, on average
+    #[arg(long, default_value_t = 0.0)]
+    restarts: f64,
+}
+
+#[derive(clap::Args)]
+pub struct Planners {
+    file: PathBuf,
+    #[arg(long)]
+    register: String,
+    /// A planner each
+    #[arg(long, value_delimiter = ',')]
+    listen: Vec<String>,
+    #[arg(long, value_delimiter = ',')]
+    advertise: Vec<String>,
+    #[arg(long, value_delimiter = ',')]
+    zone: Vec<String>,
+}
+
+#[derive(clap::Args)]
+pub struct Clients {
+    /// Where planners listen: first those that are asked, then those that are turned to
+    #[arg(long, value_delimiter = ',')]
+    planners: Vec<String>,
+    /// Connections, each to a planner of its own at first
+    #[arg(long)]
+    conns: usize,
+    #[arg(long)]
+    rate: f64,
+    /// Seconds that a task runs on average
+    #[arg(long)]
+    runs: f64,
+    #[arg(long)]
+    tenants: usize,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// One planner of many: the same command line as a process of its own has.
+#[derive(Parser)]
+struct One {
+    #[command(flatten)]
+    serve: Serve,
+}
+
+/// Words from standard input; the channel ends with it.
+fn words<W: Send + 'static>(read: impl Fn(&str) -> Option<W> + Send + 'static) -> mpsc::Receiver<W> {
+    let (out, words) = mpsc::channel(16);
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+            match read(line.trim()) {
+                Some(word) => {
+                    if out.blocking_send(word).is_err() {
+                        return;
+                    }
+                }
+                None => tracing::error!(line, "a word that is not known"),
+            }
+        }
+    });
+    words
+}
+
+fn print(value: Value) {
+    println!("{value}");
+    let _ = std::io::stdout().flush();
+}
+
+fn local<T>(job: impl std::future::Future<Output = std::io::Result<T>>) -> Result<T, Failure> {
+    let failed = |e: std::io::Error| Failure::Failed(e.to_string());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(failed)?;
+    tokio::task::LocalSet::new().block_on(&runtime, job).map_err(failed)
+}
+
+impl Hollow {
+    pub fn run(self) -> Result<(), Failure> {
+        match self {
+            Hollow::Machines(machines) => machines.run(),
+            Hollow::Register => {
+                let words = words(|line| (line == "tell").then_some(register::Word::Tell));
+                local(async {
+                    let listener = tokio::net::TcpListener::bind((register::host_of(1).as_str(), 0)).await?;
+                    print(json!({"register": listener.local_addr()?.to_string()}));
+                    register::run(listener, Vec::new(), words, print).await
+                })
+            }
+            Hollow::Planners(planners) => planners.run(),
+            Hollow::Clients(clients) => clients.run(),
+        }
+    }
+}
+
+impl Machines {
+    fn run(self) -> Result<(), Failure> {
+        let found = load(&[self.file])?;
+        let kind =
+            found.all.list("kinds").first().ok_or_else(|| Failure::Wrong("kinds: found none".into()))?;
+        let accepts = |field: &str, usual| found.all.number(field).unwrap_or(usual);
+        let plan = machines::Plan {
+            first: self.first,
+            count: self.count,
+            zones: found.names("zones"),
+            kind: kind.text("name").unwrap_or("").to_owned(),
+            cores: kind.number("cores").unwrap_or(1.0),
+            memory: kind.number("memory").unwrap_or(1.0),
+            accepts: (accepts("machines.accept_cores", 2.0), accepts("machines.accept_memory", 1.5)),
+            yes_when_running: found.all.text("machines.yes") == Some("running"),
+            restarts_per_hour: self.restarts,
+            seed: self.seed,
+        };
+        let words = words(|line| {
+            let (word, of) = line.split_once(' ').unwrap_or((line, ""));
+            Some(match word {
+                "tell" => machines::Word::Tell,
+                "vanish" => machines::Word::Vanish(of.to_owned()),
+                "return" => machines::Word::Return(of.to_owned()),
+                "roll" => machines::Word::Roll(of.parse().ok()?),
+                _ => return None,
+            })
+        });
+        local(async {
+            let hollow = machines::start(plan).await?;
+            let all: Vec<Value> = hollow
+                .entries()
+                .into_iter()
+                .map(|e| json!({"machine": e.machine, "address": e.address, "zone": e.zone, "kind": e.kind}))
+                .collect();
+            print(json!({ "machines": all }));
+            hollow.run(self.register, words, print).await;
+            Ok(())
+        })
+    }
+}
+
+impl Planners {
+    /// Each planner on a thread of its own, by the command `serve` as it stands: nothing of it is left out.
+    fn run(self) -> Result<(), Failure> {
+        let (file, register) = (self.file.display().to_string(), self.register.clone());
+        for (n, listen) in self.listen.iter().enumerate() {
+            let zone = &self.zone[n % self.zone.len().max(1)];
+            let mut args = vec!["planner", &file, "--seat", "any", "--register", &register];
+            args.extend(["--listen", listen, "--zone", zone]);
+            if let Some(advertise) = self.advertise.get(n) {
+                args.extend(["--advertise", advertise]);
+            }
+            let one = One::try_parse_from(args).map_err(|e| Failure::Wrong(e.to_string()))?;
+            std::thread::spawn(move || {
+                if let Err(Failure::Failed(why) | Failure::Wrong(why)) = one.serve.run(true) {
+                    eprintln!("a hollow planner ended: {why}");
+                }
+            });
+            // Who a planner is to the council goes by the microsecond of its start.
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        std::io::stdin().lock().lines().map_while(Result::ok).for_each(drop);
+        Ok(())
+    }
+}
+
+impl Clients {
+    fn run(self) -> Result<(), Failure> {
+        let plan = clients::Plan {
+            planners: self.planners,
+            conns: self.conns,
+            rate: self.rate,
+            runs_s: self.runs,
+            frameworks: site::FRAMEWORKS.iter().map(|f| f.asked).collect(),
+            tenants: self.tenants,
+            one_in: site::ONE_IN,
+            many: site::MANY,
+            seed: self.seed,
+        };
+        let words = words(|line| {
+            Some(match line {
+                "tell" => clients::Word::Tell,
+                "begin" => clients::Word::Begin,
+                "stop" => clients::Word::Stop,
+                _ => return None,
+            })
+        });
+        local(async {
+            clients::run(plan, words, print).await;
+            Ok(())
+        })
+    }
+}
--- /dev/null
+++ b/cli/src/measure_scale/laid.rs
@@ -0,0 +1,536 @@
+//! A scale run as it is laid out: its processes, and what is read off them.
+use super::{progress, site, Fault, Measure, MOST_MIB};
+use crate::processes::{Process, Used};
+use basaltpitch_standins::hollow::traffic::{self, Traffic, Way, KINDS};
+use basaltpitch_standins::relay::{self, Ways};
+use basaltpitch_standins::rig::addresses;
+use serde_json::{json, Map, Value};
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long a thing may take that is waited for.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// A planner as it was seated.
+struct Seated {
+    seat: String,
+    /// Its place among the addresses: real ones first, then spares, then hollow ones.
+    place: usize,
+}
+
+pub struct Laid {
+    measure: Measure,
+    zones: Vec<String>,
+    listens: Vec<String>,
+    seated: Vec<Seated>,
+    real: Vec<Option<Process>>,
+    hollow: Vec<Process>,
+    machines: Vec<Process>,
+    registers: Vec<Process>,
+    voters: Vec<Process>,
+    clients: Vec<Process>,
+    /// Of each real planner: relays to the voters.
+    to_voters: Vec<Rc<Way>>,
+    /// Of each planner: the relay before it that counts, and the one that may be cut.
+    before: Vec<(Rc<Way>, Rc<Ways>)>,
+    seats_after_s: f64,
+    most_mib: f64,
+    file: String,
+    reseated_s: Option<f64>,
+}
+
+/// What is read at the beginning and at the end of the measured time.
+pub struct Reading {
+    at: Instant,
+    used: Vec<(&'static str, Vec<Option<Used>>)>,
+    traffic: BTreeMap<String, Traffic>,
+}
+
+/// The next line of any of these, and whose it is.
+async fn next_line(all: &mut [&mut Process], until: Instant) -> io::Result<(usize, Value)> {
+    let first = futures_util::future::select_all(all.iter_mut().map(|p| Box::pin(p.line())));
+    let late = |_| io::Error::other("planners were not all seated in time");
+    let (line, n, _) = tokio::time::timeout_at(until.into(), first).await.map_err(late)?;
+    Ok((n, line?))
+}
+
+fn minus(now: &Traffic, before: Option<&Traffic>) -> Traffic {
+    let mut all = *now;
+    for (a, b) in all.0.iter_mut().zip(before.map_or(Traffic::default().0, |b| b.0)) {
+        a.bytes_in = a.bytes_in.saturating_sub(b.bytes_in);
+        a.bytes_out = a.bytes_out.saturating_sub(b.bytes_out);
+        a.frames_in = a.frames_in.saturating_sub(b.frames_in);
+        a.frames_out = a.frames_out.saturating_sub(b.frames_out);
+    }
+    all
+}
+
+/// What a planner carried, from what its peer did: in and out change places.
+fn turned(of: &Traffic) -> Traffic {
+    let mut all = *of;
+    for c in &mut all.0 {
+        (c.bytes_in, c.bytes_out) = (c.bytes_out, c.bytes_in);
+        (c.frames_in, c.frames_out) = (c.frames_out, c.frames_in);
+    }
+    all
+}
+
+fn rounded(x: f64, to: f64) -> f64 {
+    (x * to).round() / to
+}
+
+impl Laid {
+    /// Starts everything, and waits until all seats are taken and all machines are linked.
+    pub async fn lay(m: &Measure, folder: &Path) -> io::Result<Laid> {
+        let site = m.site();
+        let write = |name: &str, ways: &[String]| -> io::Result<String> {
+            let path = folder.join(name);
+            std::fs::write(&path, site.text(ways)).map(|()| path.display().to_string())
+        };
+        let (real, hollow) = (m.real + m.spares(), m.hollow());
+        let mut listens = addresses(m.voters + real + hollow)?;
+        let planners = listens.split_off(m.voters);
+        let (at_voters, listens) = (listens, planners);
+        let file = write("site.rec", &at_voters)?;
+        let all_zones = site::zones();
+        let zones: Vec<String> =
+            (0..real + hollow).map(|n| all_zones[n % all_zones.len()].to_owned()).collect();
+
+        progress("registers and machines start");
+        let mut registers = Vec::new();
+        let mut at_register = Vec::new();
+        for _ in 0..2 {
+            let mut register = Process::that_listens(&["hollow", "register"])?;
+            let line = register.line().await?;
+            at_register.push(line["register"].as_str().unwrap_or("").to_owned());
+            registers.push(register);
+        }
+        let (seed, restarts) = (m.seed.to_string(), m.restarts.to_string());
+        let mut machines = Vec::new();
+        for first in (0..m.machines).step_by(m.machines_each()) {
+            let count = m.machines_each().min(m.machines - first).to_string();
+            let first = first.to_string();
+            let args = ["hollow", "machines", &file, "--first", &first, "--count", &count];
+            let more = ["--register", &at_register[0], "--seed", &seed, "--restarts", &restarts];
+            machines.push(Process::that_listens(&[&args[..], &more].concat())?);
+        }
+        for process in &mut machines {
+            process.line().await?;
+        }
+
+        progress("voters and planners start");
+        let state = folder.join("state").display().to_string();
+        let mut voters = Vec::new();
+        for n in 0..m.voters {
+            let name = format!("v{n}");
+            let mut voter = Process::start(&["voter", &file, "--name", &name, "--state", &state])?;
+            voter.line().await?;
+            voters.push(voter);
+        }
+        let (mut before, mut advertise) = (Vec::new(), Vec::new());
+        for listen in &listens {
+            let (way, ways) = (Rc::new(Way::default()), Rc::new(Ways::default()));
+            let cuts = matches!(m.faults, Fault::Cut | Fault::OneWay);
+            let to = if cuts { relay::start(listen.clone(), ways.clone()).await? } else { listen.clone() };
+            advertise.push(traffic::relay(to, way.clone()).await?);
+            before.push((way, ways));
+        }
+        let begun = Instant::now();
+        let (mut reals, mut to_voters) = (Vec::new(), Vec::new());
+        for n in 0..real {
+            // Votes are counted apart for each real planner.
+            let (way, mut ways) = (Rc::new(Way::default()), Vec::new());
+            for to in &at_voters {
+                ways.push(traffic::relay(to.clone(), way.clone()).await?);
+            }
+            let own = write(&format!("real-{n}.rec"), &ways)?;
+            to_voters.push(way);
+            let args = ["serve", &own, "--seat", "any", "--register", &at_register[0], "--zone", &zones[n]];
+            let more = ["--listen", &listens[n], "--advertise", &advertise[n]];
+            reals.push(Some((Process::start(&[&args[..], &more].concat())?, n)));
+        }
+        let mut laid = Laid {
+            measure: m.clone(),
+            zones,
+            listens,
+            seated: Vec::new(),
+            real: Vec::new(),
+            hollow: Vec::new(),
+            machines,
+            registers,
+            voters,
+            clients: Vec::new(),
+            to_voters,
+            before,
+            seats_after_s: 0.0,
+            most_mib: 0.0,
+            file,
+            reseated_s: None,
+        };
+        laid.real = reals.into_iter().map(|p| p.map(|p| p.0)).collect();
+        // The real ones have seats before hollow ones ask for any.
+        laid.seats(m.real).await?;
+        let each = m.planners_each();
+        for from in (real..real + hollow).step_by(each) {
+            let to = (from + each).min(real + hollow);
+            let register = &at_register[usize::from(!m.hollow_links())];
+            let (listen, at, zone) = (
+                laid.listens[from..to].join(","),
+                advertise[from..to].join(","),
+                laid.zones[from..to].join(","),
+            );
+            let args = ["hollow", "planners", &laid.file, "--register", register];
+            let more = ["--listen", &listen, "--advertise", &at, "--zone", &zone];
+            let process = Process::that_listens(&[&args[..], &more].concat())?;
+            laid.hollow.push(process);
+        }
+        laid.seats(m.planners).await?;
+        laid.seats_after_s = begun.elapsed().as_secs_f64();
+        progress("all seats are taken; machines are linked");
+        let until = Instant::now() + PATIENCE;
+        while laid.linked().await? < m.machines {
+            if Instant::now() > until {
+                return Err(io::Error::other(format!(
+                    "{} of {} machines are linked to a planner after {} s",
+                    laid.linked().await?,
+                    m.machines,
+                    PATIENCE.as_secs()
+                )));
+            }
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+        laid.ask().await?;
+        Ok(laid)
+    }
+
+    /// Waits until so many have seats.
+    async fn seats(&mut self, count: usize) -> io::Result<()> {
+        let until = Instant::now() + PATIENCE;
+        while self.seated.len() < count {
+            let mut all: Vec<&mut Process> = self.real.iter_mut().flatten().chain(&mut self.hollow).collect();
+            let (_, line) = next_line(&mut all, until).await?;
+            self.sits(&line);
+        }
+        Ok(())
+    }
+
+    fn sits(&mut self, line: &Value) {
+        let text = |field: &str| line[field].as_str().unwrap_or("").to_owned();
+        let (seat, listening) = (text("name"), text("listening"));
+        let Some(place) = self.listens.iter().position(|l| *l == listening) else { return };
+        self.seated.retain(|s| s.seat != seat && s.place != place);
+        self.seated.push(Seated { seat, place });
+    }
+
+    /// Machines to which some planner is linked.
+    async fn linked(&mut self) -> io::Result<usize> {
+        Ok(self.machine_sum("linked").await? as usize)
+    }
+
+    async fn machine_sum(&mut self, field: &str) -> io::Result<u64> {
+        let mut sum = 0;
+        for process in &mut self.machines {
+            sum += process.answer("tell").await?[field].as_u64().unwrap_or(0);
+        }
+        Ok(sum)
+    }
+
+    /// Clients begin to ask the real planners that are seated.
+    async fn ask(&mut self) -> io::Result<()> {
+        let m = &self.measure;
+        let real = m.real + m.spares();
+        let mut at: Vec<usize> = self.seated.iter().map(|s| s.place).filter(|p| *p < real).collect();
+        at.sort_unstable();
+        // Spares are at the end: who is killed has its successor there.
+        let spares: Vec<usize> = (0..real).filter(|n| !at.contains(n)).collect();
+        let to: Vec<&str> = at.iter().chain(&spares).map(|n| self.listens[*n].as_str()).collect();
+        for n in 0..2u64 {
+            let (rate, runs) = ((m.asked_rate() / 2.0).to_string(), m.runs_s().to_string());
+            let (seed, tenants) = ((m.seed * 2 + n).to_string(), m.tenants.to_string());
+            let (planners, conns) = (to.join(","), at.len().to_string());
+            let args = ["hollow", "clients", "--planners", &planners, "--conns", &conns, "--rate", &rate];
+            let more = ["--runs", &runs, "--tenants", &tenants, "--seed", &seed];
+            self.clients.push(Process::that_listens(&[&args[..], &more].concat())?);
+        }
+        Ok(())
+    }
+
+    /// The measured time begins.
+    pub async fn begin(&mut self) -> io::Result<Reading> {
+        for clients in &mut self.clients {
+            clients.say("begin").await?;
+        }
+        progress("the measured time begins");
+        self.read().await
+    }
+
+    /// Lets time pass, and looks after the memory of all.
+    pub async fn watched(&mut self, time: Duration) -> io::Result<()> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            let left = until.saturating_duration_since(Instant::now()).min(Duration::from_secs(1));
+            tokio::time::sleep(left).await;
+            let mut mib = 0.0;
+            for process in self.roles().into_iter().flat_map(|r| r.1).flatten() {
+                mib += process.used().map_or(0.0, |u| u.mib);
+            }
+            self.most_mib = self.most_mib.max(mib);
+            if mib > MOST_MIB {
+                return Err(io::Error::other(format!("the run uses {mib:.0} MiB; {MOST_MIB} at most")));
+            }
+        }
+        Ok(())
+    }
+
+    fn roles(&self) -> Vec<(&'static str, Vec<Option<&Process>>)> {
+        fn all(of: &[Process]) -> Vec<Option<&Process>> {
+            of.iter().map(Some).collect()
+        }
+        vec![
+            ("planner", self.real.iter().map(Option::as_ref).collect()),
+            ("hollow planners", all(&self.hollow)),
+            ("voter", all(&self.voters)),
+            ("register", all(&self.registers[..1])),
+            ("machines", all(&self.machines)),
+            ("clients", all(&self.clients)),
+        ]
+    }
+
+    async fn read(&mut self) -> io::Result<Reading> {
+        let at = Instant::now();
+        let used = |p: Option<&Process>| p.and_then(|p| p.used().ok());
+        let used =
+            self.roles().into_iter().map(|(r, all)| (r, all.into_iter().map(used).collect())).collect();
+        Ok(Reading { at, used, traffic: self.traffic().await? })
+    }
+
+    /// What each real planner carried so far, by its seat, as the far ends of its links counted it.
+    async fn traffic(&mut self) -> io::Result<BTreeMap<String, Traffic>> {
+        let mut all: BTreeMap<String, Traffic> = BTreeMap::new();
+        for process in self.machines.iter_mut().chain(&mut self.registers[..1]) {
+            let told = process.answer("tell").await?;
+            for (planner, of) in told["planners"].as_object().into_iter().flatten() {
+                all.entry(planner.clone()).or_default().add(&turned(&Traffic::read(of)));
+            }
+        }
+        let real = self.measure.real + self.measure.spares();
+        let mut found = BTreeMap::new();
+        for s in self.seated.iter().filter(|s| s.place < real) {
+            let mut sum = all.get(&s.seat).copied().unwrap_or_default();
+            sum.add(&turned(&self.to_voters[s.place].traffic.borrow()));
+            for (name, of) in &*self.before[s.place].0.by.borrow() {
+                if name.starts_with("planner-") {
+                    sum.add(of);
+                }
+            }
+            for (way, _) in &self.before {
+                if let Some(of) = way.by.borrow().get(&s.seat) {
+                    sum.add(&turned(of));
+                }
+            }
+            found.insert(s.seat.clone(), sum);
+        }
+        Ok(found)
+    }
+
+    /// What goes wrong begins.
+    pub async fn fault(&mut self, fault: Fault) -> io::Result<()> {
+        if fault != Fault::None {
+            progress("what goes wrong begins");
+        }
+        match fault {
+            Fault::None => {}
+            Fault::Cut => self.cut(true, true),
+            Fault::OneWay => self.cut(true, false),
+            Fault::Zone => self.tell_machines(&format!("vanish {}", site::zones()[0])).await?,
+            Fault::Roll => self.tell_machines("roll 2").await?,
+            Fault::Kill => {
+                let taken: Vec<usize> = self.seated.iter().map(|s| s.place).collect();
+                let real = self.measure.real + self.measure.spares();
+                let kills = self.measure.spares().min(self.measure.real);
+                let dies: Vec<usize> = (0..real).filter(|n| taken.contains(n)).take(kills).collect();
+                let begun = Instant::now();
+                for n in &dies {
+                    if let Some(mut process) = self.real[*n].take() {
+                        process.child.kill().await?;
+                    }
+                    self.seated.retain(|s| s.place != *n);
+                }
+                self.seats(self.measure.planners).await?;
+                self.reseated_s = Some(rounded(begun.elapsed().as_secs_f64(), 10.0));
+            }
+        }
+        Ok(())
+    }
+
+    pub async fn heal(&mut self, fault: Fault) -> io::Result<()> {
+        match fault {
+            Fault::Cut | Fault::OneWay => self.cut(false, false),
+            Fault::Zone => self.tell_machines(&format!("return {}", site::zones()[0])).await?,
+            Fault::None | Fault::Roll | Fault::Kill => {}
+        }
+        Ok(())
+    }
+
+    async fn tell_machines(&mut self, word: &str) -> io::Result<()> {
+        for process in &mut self.machines {
+            process.say(word).await?;
+        }
+        Ok(())
+    }
+
+    /// Ways between planners of the first region and of the others: what the first says (`from`), and what
+    /// it hears (`to`).
+    fn cut(&self, from: bool, to: bool) {
+        let first = site::REGIONS[0].0;
+        let region = |s: &Seated| site::region_of(&self.zones[s.place]) == first;
+        for listener in &self.seated {
+            for dialler in self.seated.iter().filter(|d| region(d) != region(listener)) {
+                // From who dials, and back to it.
+                let cut = if region(dialler) { (from, to) } else { (to, from) };
+                self.before[listener.place].1.cut_of.borrow_mut().insert(dialler.seat.clone(), cut);
+            }
+        }
+    }
+
+    /// The measured time is over: all that was found.
+    pub async fn end(&mut self, before: Reading) -> io::Result<Value> {
+        let now = self.read().await?;
+        let running = self.machine_sum("running").await?;
+        let refused = self.machine_sum("refused").await?;
+        let mut load = Vec::new();
+        for clients in &mut self.clients {
+            clients.say("stop").await?;
+        }
+        progress("what is open ends");
+        // The longest limit, and its grace.
+        let until = Instant::now() + Duration::from_secs(13);
+        loop {
+            load.clear();
+            for clients in &mut self.clients {
+                load.push(clients.answer("tell").await?);
+            }
+            if load.iter().all(|l| l["open"] == 0) || Instant::now() > until {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        let linked = self.linked().await?;
+        let holders = self.holders().await?;
+        let seconds = (now.at - before.at).as_secs_f64();
+        let roles = roles_of(&before, &now, seconds);
+        let (traffic, planner_traffic) = traffic_of(&before, &now, seconds);
+        let (load, laws_of_load) = load_of(&load);
+        let sum = |field: &str| laws_of_load[field].as_u64().unwrap_or(0);
+        let answered = sum("asked") == sum("answered") && sum("again") == 0;
+        Ok(json!({
+            "roles": roles,
+            "traffic": traffic,
+            "planner_traffic": planner_traffic,
+            "load": load,
+            "laws": {
+                "seats_taken": holders, "all_seated": holders == self.measure.planners,
+                "machines_linked": linked, "all_machines_linked": linked == self.measure.machines,
+                "asked": laws_of_load["asked"], "answered": laws_of_load["answered"],
+                "answered_again": laws_of_load["again"], "one_answer_a_task": answered,
+            },
+            "all_seated_after_s": rounded(self.seats_after_s, 10.0),
+            "seated_again_after_s": self.reseated_s,
+            "running_at_machines": running,
+            "refused_by_machines": refused,
+            "measured_s": rounded(seconds, 10.0),
+            "most_mib": self.most_mib.round(),
+        }))
+    }
+
+    /// Seats that most voters have with a holder.
+    async fn holders(&mut self) -> io::Result<usize> {
+        let args = ["council", &self.file, "-o", "json"];
+        let out = tokio::process::Command::new(std::env::current_exe()?).args(args).output().await?;
+        let rows: Value = serde_json::from_slice(&out.stdout).unwrap_or_default();
+        let mut by: BTreeMap<(String, u64), usize> = BTreeMap::new();
+        for row in rows.as_array().into_iter().flatten() {
+            let seat = row["duty"].as_str().unwrap_or("");
+            if seat.starts_with(crate::council::SEATS) && row["state"] == "vote is out" {
+                *by.entry((seat.to_owned(), row["token"].as_u64().unwrap_or(0))).or_default() += 1;
+            }
+        }
+        Ok(by.values().filter(|n| **n > self.measure.voters / 2).count())
+    }
+}
+
+/// By role: mean and largest of what a process used.
+fn roles_of(before: &Reading, now: &Reading, seconds: f64) -> Value {
+    let row = |(role, all): &(&str, Vec<Option<Used>>), was: &[Option<Used>]| {
+        let both: Vec<(Used, Used)> = all.iter().zip(was).filter_map(|(a, b)| Some(((*a)?, (*b)?))).collect();
+        let n = both.len().max(1) as f64;
+        let cpu: Vec<f64> = both.iter().map(|(a, b)| (a.cpu_s - b.cpu_s) / seconds * 100.0).collect();
+        let most = |of: &mut dyn Iterator<Item = f64>| of.fold(0.0, f64::max);
+        json!({
+            "role": role, "processes": both.len(),
+            "cpu_percent": rounded(cpu.iter().sum::<f64>() / n, 100.0),
+            "cpu_percent_most": rounded(most(&mut cpu.iter().copied()), 100.0),
+            "mib": rounded(both.iter().map(|b| b.0.mib).sum::<f64>() / n, 10.0),
+            "mib_most": rounded(most(&mut both.iter().map(|b| b.0.mib)), 10.0),
+            "descriptors_most": both.iter().map(|b| b.0.descriptors).max().unwrap_or(0),
+        })
+    };
+    now.used.iter().zip(&before.used).map(|(now, was)| row(now, &was.1)).collect()
+}
+
+/// Of real planners that had a seat all the while, a second: a row a kind with mean and largest, and all of
+/// each planner. `control` is all but tasks and operators.
+fn traffic_of(before: &Reading, now: &Reading, seconds: f64) -> (Value, Value) {
+    let had = now.traffic.iter().filter(|t| before.traffic.contains_key(t.0));
+    let each: Vec<(&String, Traffic)> = had.map(|(s, t)| (s, minus(t, before.traffic.get(s)))).collect();
+    let n = each.len().max(1) as f64;
+    type Part<'a> = &'a dyn Fn(&Traffic) -> (u64, u64);
+    let row = |kind: &str, part: Part| {
+        let all: Vec<(u64, u64)> = each.iter().map(|(_, t)| part(t)).collect();
+        let mean = |of: &dyn Fn(&(u64, u64)) -> u64| {
+            rounded(all.iter().map(of).sum::<u64>() as f64 / n / seconds, 10.0)
+        };
+        let most = all.iter().map(|a| a.0).max().unwrap_or(0) as f64 / seconds;
+        json!({"kind": kind, "bytes_a_s": mean(&|a| a.0), "bytes_a_s_most": rounded(most, 10.0),
+            "frames_a_s": mean(&|a| a.1)})
+    };
+    let of = |t: &Traffic, kinds: &dyn Fn(&str) -> bool| {
+        let counts = t.0.iter().zip(KINDS).filter(|c| kinds(c.1)).map(|c| c.0);
+        counts.fold((0, 0), |s, c| (s.0 + c.bytes_in + c.bytes_out, s.1 + c.frames_in + c.frames_out))
+    };
+    let mut rows: Vec<Value> = KINDS.iter().map(|kind| row(kind, &|t| of(t, &|k| k == *kind))).collect();
+    let control = |k: &str| !matches!(k, "tasks" | "operators");
+    rows.push(row("control", &|t| of(t, &control)));
+    let planners: Map<String, Value> = each.iter().map(|(s, t)| ((*s).clone(), t.view())).collect();
+    (Value::Array(rows), Value::Object(planners))
+}
+
+/// Both processes of clients together: counts add up, of quantiles the larger is shown.
+fn load_of(all: &[Value]) -> (Value, Value) {
+    let mut rows: Vec<Value> = Vec::new();
+    for told in all {
+        for (n, more) in told["frameworks"].as_array().into_iter().flatten().enumerate() {
+            let Some(row) = rows.get_mut(n) else {
+                rows.push(more.clone());
+                continue;
+            };
+            for (field, value) in more.as_object().into_iter().flatten() {
+                let (Some(a), Some(b)) = (row[field].as_f64(), value.as_f64()) else { continue };
+                row[field] = match (field.ends_with("_ms"), row[field].as_u64(), value.as_u64()) {
+                    (true, ..) => json!(a.max(b)),
+                    (_, Some(a), Some(b)) => json!(a + b),
+                    _ => json!(rounded(a + b, 10.0)),
+                };
+            }
+        }
+    }
+    let last = rows.last().cloned().unwrap_or_default();
+    let sum = |fields: &[&str]| fields.iter().map(|f| last[*f].as_u64().unwrap_or(0)).sum::<u64>();
+    // Who asked a planner that was killed knows that no answer comes.
+    let answered = sum(&["placed", "declined", "aborted", "cut"]);
+    let laws = json!({"asked": sum(&["asked"]), "answered": answered, "again": sum(&["answered_again"])});
+    (Value::Array(rows), laws)
+}
--- a/cli/src/processes.rs
+++ b/cli/src/processes.rs
@@ -1,30 +1,77 @@
-//! Several processes of this binary on loopback, for measurements: voters and planners under seats.
+//! Several processes of this binary on loopback, for measurements: voters, planners under seats, and hollow ones.
 use crate::Failure;
 use serde_json::Value;
 use std::io;
 use std::path::Path;
 use std::process::Stdio;
-use tokio::io::{AsyncBufReadExt, BufReader, Lines};
-use tokio::process::{Child, ChildStdout, Command};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::process::{Child, ChildStdin, ChildStdout, Command};
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Used {
+    pub cpu_s: f64,
+    pub mib: f64,
+    pub descriptors: usize,
+}
 
 /// A process, and the lines that it prints; it ends with this.
 pub struct Process {
     pub child: Child,
     lines: Lines<BufReader<ChildStdout>>,
+    words: Option<ChildStdin>,
 }
 
 impl Process {
     pub fn start(args: &[&str]) -> io::Result<Process> {
+        Process::start_with(args, false)
+    }
+
+    /// One that takes words, a line each, and ends when there are no more.
+    pub fn that_listens(args: &[&str]) -> io::Result<Process> {
+        Process::start_with(args, true)
+    }
+
+    fn start_with(args: &[&str], listens: bool) -> io::Result<Process> {
         let mut child = Command::new(std::env::current_exe()?)
             .args(args)
             .args(["-o", "json"])
             .stdout(Stdio::piped())
             .stderr(Stdio::null())
-            .stdin(Stdio::null())
+            .stdin(if listens { Stdio::piped() } else { Stdio::null() })
             .kill_on_drop(true)
             .spawn()?;
         let out = child.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
-        Ok(Process { child, lines: BufReader::new(out).lines() })
+        let words = child.stdin.take();
+        Ok(Process { child, lines: BufReader::new(out).lines(), words })
+    }
+
+    /// Says a word to one that listens.
+    pub async fn say(&mut self, word: &str) -> io::Result<()> {
+        let words = self.words.as_mut().ok_or_else(|| io::Error::other("a process that does not listen"))?;
+        words.write_all(format!("{word}\n").as_bytes()).await
+    }
+
+    /// Says a word, and waits for the line that answers it.
+    pub async fn answer(&mut self, word: &str) -> io::Result<Value> {
+        self.say(word).await?;
+        let late = |_| io::Error::other(format!("no answer to {word:?} in 20 s"));
+        tokio::time::timeout(Duration::from_secs(20), self.line()).await.map_err(late)?
+    }
+
+    /// Seconds of processor time that it has used, of /proc (clock ticks of 10 ms), its memory in MiB, and
+    /// how many descriptors it has open.
+    pub fn used(&self) -> io::Result<Used> {
+        let id = self.id()?;
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
+        let after = stat.rsplit(')').next().unwrap_or("");
+        let ticks =
+            |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+        let pages = std::fs::read_to_string(format!("/proc/{id}/statm"))?;
+        let pages = pages.split_whitespace().nth(1).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd"))?.count();
+        Ok(Used { cpu_s: (ticks(11) + ticks(12)) / 100.0, mib: pages * 4.0 / 1024.0, descriptors })
     }
 
     pub async fn line(&mut self) -> io::Result<Value> {
@@ -58,12 +105,23 @@
     as_json: bool,
     measure: impl AsyncFnOnce(&Path) -> io::Result<Vec<Value>>,
 ) -> Result<(), Failure> {
+    let found = measured_once(name, measure)?;
+    crate::ask::show(&Value::Array(found), as_json);
+    Ok(())
+}
+
+/// The same without showing what was found. Told to stop, it ends what was started.
+pub fn measured_once<T>(name: &str, measure: impl AsyncFnOnce(&Path) -> io::Result<T>) -> Result<T, Failure> {
     let failed = |e: io::Error| Failure::Failed(e.to_string());
     let folder = std::env::temp_dir().join(format!("basaltpitch-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&folder).map_err(failed)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(failed)?;
-    let found = tokio::task::LocalSet::new().block_on(&runtime, measure(&folder));
+    let found = tokio::task::LocalSet::new().block_on(&runtime, async {
+        tokio::select! {
+            found = measure(&folder) => found,
+            () = crate::council::told_to_stop() => Err(io::Error::other("told to stop")),
+        }
+    });
     let _ = std::fs::remove_dir_all(&folder);
-    crate::ask::show(&Value::Array(found.map_err(failed)?), as_json);
-    Ok(())
+    found.map_err(failed)
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod directory;
 pub mod drill;
 pub mod feast;
+pub mod hollow;
 pub mod how;
 pub mod machine;
 pub mod owner;
