--- a/cli/src/measure_scale.rs
+++ b/cli/src/measure_scale.rs
@@ -3,6 +3,7 @@
 //! machines and the clients are hollow: many in one process, with the real protocol, sockets and frames.
 pub mod hollow;
 mod laid;
+mod pages;
 mod site;
 
 use crate::processes::measured_once;
@@ -11,7 +12,7 @@
 use serde_json::{json, Value};
 use site::Site;
 use std::io::{self, IsTerminal};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Bounds of a run: processes, and memory of all of them in MiB.
@@ -23,11 +24,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum Fault {
     None,
-    /// Planners of the first region and of the others do not hear each other
+    /// Planners of one region and of the others do not hear each other
     Cut,
-    /// The first region hears the others, and is not heard
+    /// Planners of one region hear the others, and are not heard
     OneWay,
-    /// The machines of the first zone vanish, and come back
+    /// The machines of a zone vanish, and come back
     Zone,
     /// All machines restart, a few at a time
     Roll,
@@ -91,6 +92,54 @@
     /// What goes wrong in the middle third of the measured time
     #[arg(long, value_enum, default_value = "none")]
     faults: Fault,
+    /// The region that is cut off, or whose first zone is lost
+    #[arg(long, default_value = "east")]
+    region: String,
+    /// Check that what was counted by kind adds up to what the sockets carried; for small runs
+    #[arg(long)]
+    counters: bool,
+    /// Several runs along one axis: machines, planners, tenants, running or rate, such as
+    /// machines=500,1000,1500,2100; lines are drawn through what was measured
+    #[arg(long)]
+    sweep: Option<String>,
+    /// A page that the tables go into, between the lines `<!-- measured: MARK -->` and `<!-- end -->`
+    #[arg(long)]
+    into: Option<PathBuf>,
+    /// The mark in that page; by default the axis of a sweep, or what goes wrong
+    #[arg(long, requires = "into")]
+    mark: Option<String>,
+}
+
+/// What is shown of a run or a sweep, and the first column of each table.
+const PARTS: [(&str, &str); 8] = [
+    ("shape", "what"),
+    ("roles", "role"),
+    ("traffic", "kind"),
+    ("load", "framework"),
+    ("seen", "what"),
+    ("laws", "what"),
+    ("rows", ""),
+    ("lines", "figure"),
+];
+
+/// Rows as they are, or a row for each field of one thing.
+fn rows_of(value: &Value, first: &str) -> Value {
+    match value {
+        Value::Object(fields) => fields.iter().map(|(k, v)| json!({first: k, "found": v})).collect(),
+        rows => rows.clone(),
+    }
+}
+
+/// What a page is told, with the command that tells it anew.
+fn tables(whole: &Value) -> String {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let mut text = format!("`basaltpitch {}`\n", args.join(" "));
+    for (part, first) in PARTS.iter().filter(|p| !whole[p.0].is_null()) {
+        let axis = whole["axis"].as_str().unwrap_or("");
+        let first = if first.is_empty() { axis } else { first };
+        text += &format!("\n{}", pages::table(&rows_of(&whole[part], first), first));
+    }
+    text
 }
 
 fn wrong<T>(field: &str, found: impl std::fmt::Display, expected: &str) -> Result<T, Failure> {
@@ -111,20 +160,50 @@
     limit.current.map_or(usize::MAX, |n| n as usize)
 }
 
+impl Fault {
+    /// Its name as an option.
+    fn word(self) -> String {
+        clap::ValueEnum::to_possible_value(&self).map_or(String::new(), |v| v.get_name().to_owned())
+    }
+}
+
 impl Measure {
     pub fn run(self, as_json: bool) -> Result<(), Failure> {
-        self.check()?;
-        let found = measured_once("scale", async |folder: &Path| self.measure(folder).await)?;
+        let sweep = self.sweep.as_deref().map(pages::Sweep::read).transpose()?;
+        let runs = sweep.as_ref().map_or_else(|| vec![self.clone()], |s| s.runs(&self));
+        runs.iter().try_for_each(Measure::check)?;
+        let usual = sweep.as_ref().map_or(self.faults.word(), |s| s.axis.clone());
+        let mark = self.mark.clone().unwrap_or(usual);
+        let page = self.into.as_ref().map(|page| pages::Page::find(page, &mark)).transpose()?;
+        let mut found = Vec::new();
+        for run in &runs {
+            found.push(measured_once("scale", async |folder: &Path| run.measure(folder).await)?);
+        }
+        let whole = match &sweep {
+            None => found[0].clone(),
+            Some(sweep) => {
+                let rows = sweep.points.iter().zip(&found).map(|(at, f)| pages::row(&sweep.axis, *at, f));
+                let rows: Vec<Value> = rows.collect();
+                json!({"axis": sweep.axis, "lines": pages::fits(&sweep.axis, &rows), "rows": rows, "runs": found})
+            }
+        };
+        if let Some(page) = page {
+            page.write(&tables(&whole))?;
+        }
         if as_json {
-            println!("{found}");
-            return Ok(());
+            println!("{whole}");
+        } else {
+            for (part, first) in PARTS.iter().filter(|p| !whole[p.0].is_null()) {
+                println!("{part}");
+                crate::ask::show(&rows_of(&whole[part], first), false);
+                println!();
+            }
         }
-        for part in ["shape", "roles", "traffic", "load", "laws"] {
-            println!("{part}");
-            crate::ask::show(&found[part], false);
-            println!();
+        let broken = |f: &&Value| f["laws"].as_object().into_iter().flatten().any(|l| *l.1 == json!(false));
+        match found.iter().find(broken) {
+            Some(f) => Err(Failure::Failed(format!("laws are broken: {}", f["laws"]))),
+            None => Ok(()),
         }
-        Ok(())
     }
 
     /// What is wrong with the options, before anything is started.
@@ -159,6 +238,10 @@
         if !(0.0..=3600.0).contains(&self.restarts) {
             return wrong("restarts", self.restarts, "0 to 3600 an hour");
         }
+        if !site::REGIONS.iter().any(|r| r.0 == self.region) {
+            let names: Vec<&str> = site::REGIONS.iter().map(|r| r.0).collect();
+            return wrong("region", format!("{:?}", self.region), &format!("one of {}", names.join(", ")));
+        }
         if self.heartbeat == Some(0) {
             return wrong("heartbeat", 0, "milliseconds, 1 or more");
         }
@@ -270,7 +353,7 @@
             "heartbeat_ms": self.heartbeat, "copies": self.copies, "bytes": self.bytes,
             "hollow_planners_link": self.hollow_links(), "machines_a_process": self.machines_each(),
             "hollow_planners_a_process": self.planners_each(), "descriptors": limit(),
-            "faults": format!("{:?}", self.faults).to_lowercase(),
+            "faults": self.faults.word(),
         });
         let mut laid = Laid::lay(self, folder).await?;
         let usual = (self.runs_s() as u64).clamp(5, 30);
--- a/cli/src/measure_scale/laid.rs
+++ b/cli/src/measure_scale/laid.rs
@@ -1,9 +1,10 @@
 //! A scale run as it is laid out: its processes, and what is read off them.
 use super::{progress, site, Fault, Measure, MOST_MIB};
-use crate::processes::{Process, Used};
+use crate::processes::{self, Process, Used};
 use basaltpitch_standins::hollow::traffic::{self, Traffic, Way, KINDS};
 use basaltpitch_standins::relay::{self, Ways};
 use basaltpitch_standins::rig::addresses;
+use futures_util::FutureExt;
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
 use std::io;
@@ -32,20 +33,26 @@
     registers: Vec<Process>,
     voters: Vec<Process>,
     clients: Vec<Process>,
-    /// Of each real planner: relays to the voters.
+    /// Of each real planner: relays to the voters, and to the register.
     to_voters: Vec<Rc<Way>>,
+    to_register: Vec<Rc<Way>>,
     /// Of each planner: the relay before it that counts, and the one that may be cut.
     before: Vec<(Rc<Way>, Rc<Ways>)>,
     seats_after_s: f64,
     most_mib: f64,
     file: String,
     reseated_s: Option<f64>,
+    /// Seats that changed hands unasked, after all were taken.
+    moved: usize,
 }
 
 /// What is read at the beginning and at the end of the measured time.
 pub struct Reading {
     at: Instant,
     used: Vec<(&'static str, Vec<Option<Used>>)>,
+    /// Seconds of processor time that this process, and that all of the machine's, have used.
+    own_s: f64,
+    busy_s: f64,
     traffic: BTreeMap<String, Traffic>,
 }
 
@@ -139,7 +146,7 @@
             before.push((way, ways));
         }
         let begun = Instant::now();
-        let (mut reals, mut to_voters) = (Vec::new(), Vec::new());
+        let (mut reals, mut to_voters, mut to_register) = (Vec::new(), Vec::new(), Vec::new());
         for n in 0..real {
             // Votes are counted apart for each real planner.
             let (way, mut ways) = (Rc::new(Way::default()), Vec::new());
@@ -148,7 +155,10 @@
             }
             let own = write(&format!("real-{n}.rec"), &ways)?;
             to_voters.push(way);
-            let args = ["serve", &own, "--seat", "any", "--register", &at_register[0], "--zone", &zones[n]];
+            let way = Rc::new(Way::default());
+            let register = traffic::relay(at_register[0].clone(), way.clone()).await?;
+            to_register.push(way);
+            let args = ["serve", &own, "--seat", "any", "--register", &register, "--zone", &zones[n]];
             let more = ["--listen", &listens[n], "--advertise", &advertise[n]];
             reals.push(Some((Process::start(&[&args[..], &more].concat())?, n)));
         }
@@ -164,11 +174,13 @@
             voters,
             clients: Vec::new(),
             to_voters,
+            to_register,
             before,
             seats_after_s: 0.0,
             most_mib: 0.0,
             file,
             reseated_s: None,
+            moved: 0,
         };
         laid.real = reals.into_iter().map(|p| p.map(|p| p.0)).collect();
         // The real ones have seats before hollow ones ask for any.
@@ -217,6 +229,19 @@
         Ok(())
     }
 
+    /// Takes in who was seated meanwhile.
+    fn sit(&mut self) -> io::Result<()> {
+        let mut lines = Vec::new();
+        for process in self.real.iter_mut().flatten().chain(&mut self.hollow) {
+            while let Some(line) = process.line().now_or_never() {
+                lines.push(line?);
+            }
+        }
+        self.moved += lines.len();
+        lines.iter().for_each(|line| self.sits(line));
+        Ok(())
+    }
+
     fn sits(&mut self, line: &Value) {
         let text = |field: &str| line[field].as_str().unwrap_or("").to_owned();
         let (seat, listening) = (text("name"), text("listening"));
@@ -304,7 +329,9 @@
         let used = |p: Option<&Process>| p.and_then(|p| p.used().ok());
         let used =
             self.roles().into_iter().map(|(r, all)| (r, all.into_iter().map(used).collect())).collect();
-        Ok(Reading { at, used, traffic: self.traffic().await? })
+        self.sit()?;
+        let own_s = processes::used_by(std::process::id())?.cpu_s;
+        Ok(Reading { at, used, own_s, busy_s: processes::busy_s()?, traffic: self.traffic().await? })
     }
 
     /// What each real planner carried so far, by its seat, as the far ends of its links counted it.
@@ -345,7 +372,9 @@
             Fault::None => {}
             Fault::Cut => self.cut(true, true),
             Fault::OneWay => self.cut(true, false),
-            Fault::Zone => self.tell_machines(&format!("vanish {}", site::zones()[0])).await?,
+            Fault::Zone => {
+                self.tell_machines(&format!("vanish {}", site::first_zone(&self.measure.region))).await?
+            }
             Fault::Roll => self.tell_machines("roll 2").await?,
             Fault::Kill => {
                 let taken: Vec<usize> = self.seated.iter().map(|s| s.place).collect();
@@ -369,7 +398,9 @@
     pub async fn heal(&mut self, fault: Fault) -> io::Result<()> {
         match fault {
             Fault::Cut | Fault::OneWay => self.cut(false, false),
-            Fault::Zone => self.tell_machines(&format!("return {}", site::zones()[0])).await?,
+            Fault::Zone => {
+                self.tell_machines(&format!("return {}", site::first_zone(&self.measure.region))).await?
+            }
             Fault::None | Fault::Roll | Fault::Kill => {}
         }
         Ok(())
@@ -382,11 +413,10 @@
         Ok(())
     }
 
-    /// Ways between planners of the first region and of the others: what the first says (`from`), and what
-    /// it hears (`to`).
+    /// Ways between planners of one region and of the others: what the one says (`from`), and what it
+    /// hears (`to`).
     fn cut(&self, from: bool, to: bool) {
-        let first = site::REGIONS[0].0;
-        let region = |s: &Seated| site::region_of(&self.zones[s.place]) == first;
+        let region = |s: &Seated| site::region_of(&self.zones[s.place]) == self.measure.region;
         for listener in &self.seated {
             for dialler in self.seated.iter().filter(|d| region(d) != region(listener)) {
                 // From who dials, and back to it.
@@ -418,14 +448,24 @@
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        let linked = self.linked().await?;
-        let holders = self.holders().await?;
+        // Machines that restarted at the end are linked anew, and seats that moved are taken.
+        let until = Instant::now() + Duration::from_secs(20);
+        let (mut linked, mut holders) = (self.linked().await?, self.holders().await?);
+        while (linked < self.measure.machines || holders < self.measure.planners) && Instant::now() < until {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            (linked, holders) = (self.linked().await?, self.holders().await?);
+        }
         let seconds = (now.at - before.at).as_secs_f64();
+        let busy = (now.busy_s - before.busy_s) / seconds;
+        let sum =
+            |r: &Reading| r.used.iter().flat_map(|x| &x.1).flatten().map(|u| u.cpu_s).sum::<f64>() + r.own_s;
+        let own = (sum(&now) - sum(&before)) / seconds;
         let roles = roles_of(&before, &now, seconds);
         let (traffic, planner_traffic) = traffic_of(&before, &now, seconds);
         let (load, laws_of_load) = load_of(&load);
         let sum = |field: &str| laws_of_load[field].as_u64().unwrap_or(0);
-        let answered = sum("asked") == sum("answered") && sum("again") == 0;
+        let answered = sum("asked") == sum("answered") && sum("again") == 0 && sum("asked") > 0;
+        let adds_up = if self.measure.counters { Some(self.adds_up().await?) } else { None };
         Ok(json!({
             "roles": roles,
             "traffic": traffic,
@@ -436,16 +476,44 @@
                 "machines_linked": linked, "all_machines_linked": linked == self.measure.machines,
                 "asked": laws_of_load["asked"], "answered": laws_of_load["answered"],
                 "answered_again": laws_of_load["again"], "one_answer_a_task": answered,
+                "counters_add_up": adds_up,
+            },
+            "seen": {
+                "all_seated_after_s": rounded(self.seats_after_s, 10.0),
+                "seated_again_after_s": self.reseated_s,
+                "seats_that_moved": self.moved,
+                "running_at_machines": running,
+                "refused_by_machines": refused,
+                "measured_s": rounded(seconds, 10.0),
+                "most_mib": self.most_mib.round(),
+                "cores_busy": rounded(busy, 100.0),
+                "cores_busy_by_others": rounded((busy - own).max(0.0), 100.0),
             },
-            "all_seated_after_s": rounded(self.seats_after_s, 10.0),
-            "seated_again_after_s": self.reseated_s,
-            "running_at_machines": running,
-            "refused_by_machines": refused,
-            "measured_s": rounded(seconds, 10.0),
-            "most_mib": self.most_mib.round(),
         }))
     }
 
+    /// Whether what the register counted of each real planner, by kind, adds up to the bytes that a relay
+    /// between them carried: at some moment at which nothing is under way.
+    async fn adds_up(&mut self) -> io::Result<bool> {
+        let real = self.measure.real + self.measure.spares();
+        let mut left: Vec<(String, usize)> =
+            self.seated.iter().filter(|s| s.place < real).map(|s| (s.seat.clone(), s.place)).collect();
+        for _ in 0..200 {
+            let told = self.registers[0].answer("tell").await?;
+            left.retain(|(seat, place)| {
+                let (way, of) = (&self.to_register[*place], Traffic::read(&told["planners"][seat]));
+                let kinds = *way.traffic.borrow() == of;
+                !(kinds && way.carried.get() == of.bytes() && of.bytes() > 0)
+            });
+            if left.is_empty() {
+                return Ok(true);
+            }
+            tokio::time::sleep(Duration::from_millis(7)).await;
+        }
+        tracing::error!(?left, "what the register counted is not what the relays before it carried");
+        Ok(false)
+    }
+
     /// Seats that most voters have with a holder.
     async fn holders(&mut self) -> io::Result<usize> {
         let args = ["council", &self.file, "-o", "json"];
@@ -518,6 +586,10 @@
                 continue;
             };
             for (field, value) in more.as_object().into_iter().flatten() {
+                if row[field].is_null() {
+                    row[field] = value.clone();
+                    continue;
+                }
                 let (Some(a), Some(b)) = (row[field].as_f64(), value.as_f64()) else { continue };
                 row[field] = match (field.ends_with("_ms"), row[field].as_u64(), value.as_u64()) {
                     (true, ..) => json!(a.max(b)),
--- a/cli/src/measure_scale/site.rs
+++ b/cli/src/measure_scale/site.rs
@@ -16,6 +16,10 @@
     REGIONS.iter().find(|r| r.1.contains(&zone)).map_or("", |r| r.0)
 }
 
+pub fn first_zone(region: &str) -> &'static str {
+    REGIONS.iter().find(|r| r.0 == region).map_or("", |r| r.1[0])
+}
+
 /// A framework: how it is asked for, and the rest of its settings.
 pub struct Framework {
     pub asked: Asked,
@@ -76,8 +80,8 @@
         let tenant = |n| format!("{{name: \"tenant-{n}\", share: {share:.9}}}");
         let voters = ways.iter().enumerate().map(|(n, a)| format!("{{name: \"v{n}\", address: {a:?}}}"));
         let mut text = format!(
-            "zones: [{}]\nkinds: [{{name: \"std\", cores: 16, memory: 64GiB}}]\nframeworks: [\n{frameworks}]\n\
-             tenants: [{}]\nplanners: {}\nmachines: yes: \"running\"\n\
+            "zones: [{}]\nkinds: [{{name: \"std\", cores: 16, memory: 64GiB}}]\n\
+             frameworks: [\n{frameworks}]\ntenants: [{}]\nplanners: {}\nmachines: yes: \"running\"\n\
              council: {{term: {}ms, drift: {}ms, voters: [{}]}}\n",
             list(zones().iter().map(quoted).collect()),
             list((0..self.tenants).map(tenant).collect()),
--- a/cli/src/processes.rs
+++ b/cli/src/processes.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 
-/// What a process has used.
+/// What a process has used: seconds of processor time, memory in MiB, and descriptors that are open.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Used {
     pub cpu_s: f64,
@@ -60,30 +60,40 @@
         tokio::time::timeout(Duration::from_secs(20), self.line()).await.map_err(late)?
     }
 
-    /// Seconds of processor time that it has used, of /proc (clock ticks of 10 ms), its memory in MiB, and
-    /// how many descriptors it has open.
-    pub fn used(&self) -> io::Result<Used> {
-        let id = self.id()?;
-        let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
-        let after = stat.rsplit(')').next().unwrap_or("");
-        let ticks =
-            |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-        let pages = std::fs::read_to_string(format!("/proc/{id}/statm"))?;
-        let pages = pages.split_whitespace().nth(1).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd"))?.count();
-        Ok(Used { cpu_s: (ticks(11) + ticks(12)) / 100.0, mib: pages * 4.0 / 1024.0, descriptors })
-    }
-
     pub async fn line(&mut self) -> io::Result<Value> {
         let line = self.lines.next_line().await?.ok_or_else(|| io::Error::other("a process ended"))?;
         serde_json::from_str(&line).map_err(io::Error::other)
     }
 
+    pub fn used(&self) -> io::Result<Used> {
+        used_by(self.id()?)
+    }
+
     pub fn id(&self) -> io::Result<u32> {
         self.child.id().ok_or_else(|| io::Error::other("a process ended"))
     }
 }
 
+/// What a process has used, of /proc: clock ticks are of 10 ms, pages of 4 KiB.
+pub fn used_by(id: u32) -> io::Result<Used> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
+    let after = stat.rsplit(')').next().unwrap_or("");
+    let ticks = |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+    let pages = std::fs::read_to_string(format!("/proc/{id}/statm"))?;
+    let pages = pages.split_whitespace().nth(1).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+    let descriptors = std::fs::read_dir(format!("/proc/{id}/fd"))?.count();
+    Ok(Used { cpu_s: (ticks(11) + ticks(12)) / 100.0, mib: pages * 4.0 / 1024.0, descriptors })
+}
+
+/// Seconds of processor time that all of the machine has used, of /proc.
+pub fn busy_s() -> io::Result<f64> {
+    let stat = std::fs::read_to_string("/proc/stat")?;
+    let ticks: Vec<f64> = stat.lines().next().unwrap_or("").split_whitespace().flat_map(str::parse).collect();
+    // All but idle and waiting for a disk.
+    let idle = ticks.iter().skip(3).take(2).sum::<f64>();
+    Ok((ticks.iter().take(8).sum::<f64>() - idle) / 100.0)
+}
+
 /// Writes an installation with so many seats and these ways to its voters, v0 and so on; the term is in
 /// milliseconds, the drift a twenty-fifth of it.
 pub fn site(folder: &Path, name: &str, seats: usize, term: u64, ways: &[String]) -> io::Result<String> {
--- a/standins/src/hollow/clients.rs
+++ b/standins/src/hollow/clients.rs
@@ -325,11 +325,12 @@
     fn view(&self) -> Value {
         let ms = |us: u64| us as f64 / 1000.0;
         let row = |name: &str, h: &Histogram<u64>, c: &Counts| {
+            // Of none placed there is no time.
+            let at = |q: f64| (!h.is_empty()).then(|| ms(h.value_at_quantile(q)));
             json!({"framework": name, "asked": c.asked, "placed": c.placed, "declined": c.declined,
                 "aborted": c.aborted, "unanswered": c.unanswered, "cut": c.cut, "lost": c.lost,
                 "answered_again": c.again, "value": (c.value * 10.0).round() / 10.0,
-                "p50_ms": ms(h.value_at_quantile(0.5)), "p99_ms": ms(h.value_at_quantile(0.99)),
-                "p99.9_ms": ms(h.value_at_quantile(0.999)), "most_ms": ms(h.max())})
+                "p50_ms": at(0.5), "p99_ms": at(0.99), "p99.9_ms": at(0.999), "most_ms": at(1.0)})
         };
         let mut all = Seen::new();
         for s in &self.seen {
