--- a/cli/src/measure_scale.rs
+++ b/cli/src/measure_scale.rs
@@ -1,6 +1,7 @@
 //! `basaltpitch measure-scale`: what planners, voters and the register cost in a fleet of full size, on
 //! loopback. A few planners are processes of their own and are what is measured; the other planners, all
 //! machines and the clients are hollow: many in one process, with the real protocol, sockets and frames.
+mod believe;
 pub mod hollow;
 mod laid;
 mod pages;
@@ -98,6 +99,10 @@
     /// Check that what was counted by kind adds up to what the sockets carried; for small runs
     #[arg(long)]
     counters: bool,
+    /// Lay hollow planners and machines beside real ones instead, compare what both carry and use, and fail
+    /// where they are further apart than a bound
+    #[arg(long, conflicts_with_all = ["sweep", "into"])]
+    believe: bool,
     /// Several runs along one axis: machines, planners, tenants, running or rate, such as
     /// machines=500,1000,1500,2100; lines are drawn through what was measured
     #[arg(long)]
@@ -169,6 +174,18 @@
 
 impl Measure {
     pub fn run(self, as_json: bool) -> Result<(), Failure> {
+        if self.believe {
+            self.check()?;
+            let rows = measured_once("believe", async |folder: &Path| believe::believe(&self, folder).await)?;
+            let doubted = rows.iter().filter(|r| r["believed"] == false).count();
+            crate::ask::show(&Value::Array(rows), as_json);
+            return match doubted {
+                0 => Ok(()),
+                n => Err(Failure::Failed(format!(
+                    "{n} figures of hollow ones are further apart than their bound"
+                ))),
+            };
+        }
         let sweep = self.sweep.as_deref().map(pages::Sweep::read).transpose()?;
         let runs = sweep.as_ref().map_or_else(|| vec![self.clone()], |s| s.runs(&self));
         runs.iter().try_for_each(Measure::check)?;
@@ -184,7 +201,8 @@
             Some(sweep) => {
                 let rows = sweep.points.iter().zip(&found).map(|(at, f)| pages::row(&sweep.axis, *at, f));
                 let rows: Vec<Value> = rows.collect();
-                json!({"axis": sweep.axis, "lines": pages::fits(&sweep.axis, &rows), "rows": rows, "runs": found})
+                let lines = pages::fits(&sweep.axis, &rows);
+                json!({"axis": sweep.axis, "lines": lines, "rows": rows, "runs": found})
             }
         };
         if let Some(page) = page {
@@ -357,6 +375,7 @@
         });
         let mut laid = Laid::lay(self, folder).await?;
         let usual = (self.runs_s() as u64).clamp(5, 30);
+        laid.ask().await?;
         progress("the load comes up");
         tokio::time::sleep(Duration::from_secs(self.rise.unwrap_or(usual))).await;
         let before = laid.begin().await?;
--- a/cli/src/measure_scale/site.rs
+++ b/cli/src/measure_scale/site.rs
@@ -63,7 +63,7 @@
 }
 
 impl Site {
-    /// With these ways to the voters, v0 and so on.
+    /// With these ways to the voters, v0 and so on; without any there is no council.
     pub fn text(&self, ways: &[String]) -> String {
         let list = |all: Vec<String>| all.join(", ");
         let quoted = |z: &&str| format!("{z:?}");
@@ -79,16 +79,22 @@
         let share = 1.0 / self.tenants.max(1) as f64;
         let tenant = |n| format!("{{name: \"tenant-{n}\", share: {share:.9}}}");
         let voters = ways.iter().enumerate().map(|(n, a)| format!("{{name: \"v{n}\", address: {a:?}}}"));
+        let council = if ways.is_empty() {
+            String::new()
+        } else {
+            let drift = (self.term_ms / 25).max(1);
+            format!(
+                "council: {{term: {}ms, drift: {drift}ms, voters: [{}]}}\n",
+                self.term_ms,
+                list(voters.collect())
+            )
+        };
         let mut text = format!(
             "zones: [{}]\nkinds: [{{name: \"std\", cores: 16, memory: 64GiB}}]\n\
-             frameworks: [\n{frameworks}]\ntenants: [{}]\nplanners: {}\nmachines: yes: \"running\"\n\
-             council: {{term: {}ms, drift: {}ms, voters: [{}]}}\n",
+             frameworks: [\n{frameworks}]\ntenants: [{}]\nplanners: {}\nmachines: yes: \"running\"\n{council}",
             list(zones().iter().map(quoted).collect()),
             list((0..self.tenants).map(tenant).collect()),
             self.planners,
-            self.term_ms,
-            (self.term_ms / 25).max(1),
-            list(voters.collect())
         );
         if self.regions {
             let region = |r: &(&str, &[&str])| {
@@ -108,3 +114,22 @@
         text
     }
 }
+
+/// An installation of one planner without a council, for stand-in machines too.
+pub fn alone(machines: usize) -> String {
+    let site = Site {
+        planners: 1,
+        tenants: 5,
+        term_ms: 0,
+        regions: false,
+        heartbeat_ms: None,
+        copies: None,
+        bytes: None,
+    };
+    let zone = zones()[0];
+    site.text(&[])
+        + &format!(
+            "day: {{length: 1s, machines: [{{kind: \"std\", zone: {zone:?}, count: {machines}}}], \
+             tasks: [{{framework: \"small\", per_s: 1, cores: [1], memory: [2]}}]}}\n"
+        )
+}
