Council: a voter's record is told by what changed since the asker's revision

A seated planner asked one voter each half term for the whole record of all seats, and a conductor all voters each quarter of a term for the whole record with all notes: bytes grew with the seats for every planner, while seats change by the hour.

council/src/record.rs (no I/O): a voter numbers the changes of what it keeps by a revision of its own life, the time of its start; a renewal is none. Who asks says the life and revision that it has of this voter, and gets what changed since, or all where the life is another. The asker has a revision only once what came with it was taken in, keeps one for each voter and part of the record, and tells its planner only what is above what was told last of a duty. Record and Kept gain fields: an older build that says none gets the whole record as before, and its own answers count as whole ones. Conductors ask for the notes that they follow alone. Spares ask as before: the time that each duty is taken changes all the time.

--- a/agent/tests/traffic.rs
+++ b/agent/tests/traffic.rs
@@ -25,7 +25,7 @@
         1 => Body::Inventory(wire::Inventory::default()),
         2 => Body::Probe(wire::Probe { number: size as u64 }),
         3 => Body::List(wire::List::default()),
-        4 => Body::Record(wire::Record { prefix: text, brief: true }),
+        4 => Body::Record(wire::Record { prefix: text, brief: true, ..wire::Record::default() }),
         5 => Body::Digest(wire::Digest { question: 1, ..wire::Digest::default() }),
         _ => Body::Told(wire::Told { json: text, more: false }),
     }
@@ -160,13 +160,20 @@
             credit: 1 << 20,
             ..wire::Hello::default()
         };
-        far.write_all(&raw(Body::Hello(hello))).await.unwrap();
+        let hello = raw(Body::Hello(hello));
+        far.write_all(&hello).await.unwrap();
         let up = heard.recv().await;
         assert!(matches!(up, Some(News::Session(Event::Up(_)))), "{up:?}");
         orders.send(Order::Send(body(0, 5000), Some(1))).await.unwrap();
         let mut taken = vec![0; reads];
         far.read_exact(&mut taken).await.unwrap();
         far.write_all(says).await.unwrap();
+        // What is cut before it was read was not carried.
+        let all = (hello.len() + says.len()) as u64;
+        for _ in (0..100_000).take_while(|_| read.get() < all) {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(read.get(), all, "the link reads all that comes");
         drop(far);
         while let Some(news) = heard.recv().await {
             if matches!(news, News::Ended { .. }) {
--- a/council/src/lib.rs
+++ b/council/src/lib.rs
@@ -9,6 +9,7 @@
 //! votes again only after the first holder has stopped by its own clock. Why tokens rise: that voter votes
 //! only for a token above every one that it voted for.
 pub mod member;
+pub mod record;
 pub mod seats;
 pub mod voter;
 
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -6,6 +6,7 @@
 use basaltpitch_agent::session::{Links, Party};
 use basaltpitch_agent::wire::{self, Body};
 use basaltpitch_council::member::{Call, Member};
+use basaltpitch_council::record::{Have, Known, Said};
 use basaltpitch_council::seats::Seats;
 use basaltpitch_council::{agreed, Answer, Note, Terms};
 use std::cell::Cell;
@@ -121,6 +122,8 @@
     of_words: Vec<Rc<str>>,
     /// Looks since it was seated: at each, another voter is asked for the seats.
     looked: usize,
+    /// What it has of each voter's record, by what the duties' names begin with.
+    known: Known<Rc<str>, Rc<str>>,
     /// Of the duties beside the seat that are held: token and tenure, and the number of the last note
     /// written.
     held: BTreeMap<Rc<str>, (u64, Tenure, u64)>,
@@ -158,6 +161,7 @@
         peers,
         of_words,
         looked: 0,
+        known: Known::default(),
         held: BTreeMap::new(),
         acts,
         notes: BTreeMap::new(),
@@ -206,43 +210,64 @@
 
     /// Asks what the voters keep, as far as it is needed.
     fn look(&mut self) {
-        if self.seeks && self.seated.is_none() || !self.held.is_empty() {
+        if self.seeks && self.seated.is_none() {
             let record = wire::Record { brief: self.held.is_empty(), ..wire::Record::default() };
             self.all_voters(|| Body::Record(record.clone()));
+        } else if !self.held.is_empty() {
+            // What a majority keeps is wanted of notes that are followed.
+            (0..self.voters.len()).for_each(|v| self.follows.iter().for_each(|of| self.ask_record(v, of)));
         }
         let Some(prefix) = self.peers.as_ref().filter(|_| self.seated.is_some()) else { return };
         // Of a holder that renewed each voter of its majority knows: one is enough, and another each time, as
         // one may be cut off or behind. Just seated, it asks them all.
         self.looked += 1;
         if self.looked == 1 || self.looked.is_multiple_of(2) {
-            let ask =
-                |prefix: &Rc<str>| Body::Record(wire::Record { brief: true, prefix: prefix.to_string() });
-            let asks: Vec<Body> = std::iter::once(prefix).chain(&self.of_words).map(ask).collect();
-            let linked: Vec<&mpsc::Sender<Order>> = self.voters.iter().flatten().collect();
+            let linked: Vec<usize> = (0..self.voters.len()).filter(|&v| self.voters[v].is_some()).collect();
             let one = linked.get(self.looked / 2 % linked.len().max(1)).filter(|_| self.looked > 1);
-            let whom: Vec<_> = one.map_or(linked.clone(), |one| vec![*one]);
-            for orders in whom {
-                asks.iter().for_each(|ask| drop(orders.try_send(Order::Send(ask.clone(), None))));
+            for v in one.map_or(linked.clone(), |one| vec![*one]) {
+                std::iter::once(prefix).chain(&self.of_words).for_each(|prefix| self.ask_record(v, prefix));
             }
         }
     }
 
-    /// Tells who has seats, as a voter keeps it: in one word, so that hundreds of them don't fill the way of
-    /// what must be told.
-    fn tell_seats(&mut self, kept: &wire::Kept) {
+    /// Asks a voter for duties whose names begin so, as far as they changed since it was heard.
+    fn ask_record(&self, v: usize, prefix: &Rc<str>) {
+        let Have { life, revision } = self.known.has(v, prefix);
+        let ask = wire::Record { brief: true, prefix: prefix.to_string(), life, revision };
+        if let Some(orders) = &self.voters[v] {
+            let _ = orders.try_send(Order::Send(Body::Record(ask), None));
+        }
+    }
+
+    /// Tells who has seats, as a voter keeps it, where that is news: in one word, so that hundreds of them don't
+    /// fill the way of what must be told.
+    fn tell_seats(&mut self, v: usize, kept: &wire::Kept) {
         let (Some(acts), Some(prefix)) = (&self.acts, &self.peers) else { return };
+        let part = Rc::from(kept.prefix.as_str());
+        let said = Said { since: kept.since, to: Have { life: kept.life, revision: kept.revision } };
+        if !self.known.counts(v, &part, &said) {
+            return;
+        }
         let held = |d: &&wire::KeptDuty| d.duty.starts_with(&**prefix) && d.renewed && !d.holder.is_empty();
         let is_word =
             |d: &&wire::KeptDuty| !d.note.is_empty() && self.of_words.iter().any(|w| **w == *d.duty);
-        let word = |d: &wire::KeptDuty| (Rc::from(d.duty.as_str()), d.note_token, Some(d.note.clone()));
-        let seat = |d: &wire::KeptDuty| {
+        type Told = (Rc<str>, u64, Option<Vec<u8>>);
+        let word = |d: &wire::KeptDuty| -> ((u64, u64), Told) {
+            ((d.note_token, d.note_number), (Rc::from(d.duty.as_str()), d.note_token, Some(d.note.clone())))
+        };
+        let seat = |d: &wire::KeptDuty| -> ((u64, u64), Told) {
             let note = (d.note_token == d.token && !d.note.is_empty()).then(|| d.note.clone());
-            (Rc::from(d.duty.as_str()), d.token, note)
+            let number = note.as_ref().map_or(0, |_| d.note_number);
+            ((d.token, number), (Rc::from(d.duty.as_str()), d.token, note))
         };
-        // Not taken, it is told at one of the next looks.
         let words = kept.duties.iter().filter(is_word).map(word);
         let all = kept.duties.iter().filter(held).map(seat).chain(words);
-        let _ = acts.try_send(Duty::Seats(all.collect()));
+        let all = all.filter(|(of, told)| self.known.is_news(&told.0, *of));
+        let (news, all): (Vec<_>, Vec<Told>) = all.map(|(of, told)| ((told.0.clone(), of), told)).unzip();
+        // Not taken, it is told at one of the next looks.
+        if all.is_empty() || acts.try_send(Duty::Seats(all)).is_ok() {
+            self.known.took(v, &part, &said, news);
+        }
     }
 
     fn hear(&mut self, v: usize, heard: Heard) {
@@ -290,15 +315,16 @@
                     self.seats.told(v, others.map(|d| Rc::from(d.duty.as_str())));
                     self.seek(now);
                 }
-                self.tell_seats(&kept);
+                self.tell_seats(v, &kept);
                 for d in kept.duties {
-                    let of = self.follows.iter().find(|f| ***f == *d.duty).filter(|_| !self.held.is_empty());
-                    if let Some(of) = of.filter(|_| !d.note.is_empty()) {
+                    if let Some(of) = self.follows.iter().find(|f| ***f == *d.duty && !d.note.is_empty()) {
                         let note = Note { token: d.note_token, number: d.note_number, text: d.note };
                         self.notes.insert((of.clone(), v), note);
                     }
                 }
-                self.follow_notes();
+                if !self.held.is_empty() {
+                    self.follow_notes();
+                }
             }
             Heard::Frame(Body::HandOn(h)) => self.hand_on(now, h.duty.into(), h.to, h.token),
             Heard::Frame(_) => {}
@@ -434,7 +460,8 @@
                 }
                 Call::Won { duty, token, .. } => {
                     tracing::info!(seat = &*duty, token, "seated");
-                    (self.seated, self.looked) = (Some(duty.clone()), 0);
+                    // Another life wants to be told all anew.
+                    (self.seated, self.looked, self.known) = (Some(duty.clone()), 0, Known::default());
                     let (acts, duties) = mpsc::channel(INBOX);
                     self.acts = Some(acts);
                     let _ = self.words.send(Word::Seated { seat: duty, token, duties }).await;
--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -5,6 +5,7 @@
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Links, Party};
 use basaltpitch_agent::wire::{self, Body, Role};
+use basaltpitch_council::record::{Have, Revisions, Said};
 use basaltpitch_council::voter::{Kept, Voter};
 use basaltpitch_council::{Answer, Note, Terms};
 use basaltpitch_store::Store;
@@ -51,6 +52,8 @@
     term: i64,
     voter: Voter<Rc<str>, Rc<str>>,
     past: Past,
+    /// By which it tells what changed.
+    revisions: Revisions<Rc<str>>,
     conns: HashMap<u64, Conn>,
     /// The other voters that are linked, by their place among all.
     others: HashMap<usize, mpsc::Sender<Order>>,
@@ -92,14 +95,17 @@
     }
 }
 
-/// What is kept of duties whose names begin so.
+/// What is kept of duties whose names begin so, as far as `names` has it.
 fn kept(
     voter: &Voter<Rc<str>, Rc<str>>,
     past: &Past,
     now: i64,
-    wire::Record { brief, prefix }: &wire::Record,
+    wire::Record { brief, prefix, .. }: &wire::Record,
+    said: Said,
+    names: impl Fn(&Rc<str>) -> bool,
 ) -> wire::Kept {
     let brief = *brief;
+    let asked = |duty: &Rc<str>| duty.starts_with(prefix.as_str()) && names(duty);
     let past = |duty: &Rc<str>| past.get(duty).into_iter().flatten().cloned().collect();
     let duty = |(duty, k): (&Rc<str>, &Kept<Rc<str>>)| wire::KeptDuty {
         duty: duty.to_string(),
@@ -115,7 +121,11 @@
     wire::Kept {
         whole: voter.is_whole(),
         votes_in_us: (voter.votes_from() - now).max(0),
-        duties: voter.kept().filter(|(duty, _)| duty.starts_with(prefix.as_str())).map(duty).collect(),
+        duties: voter.kept().filter(|(duty, _)| asked(duty)).map(duty).collect(),
+        life: said.to.life,
+        revision: said.to.revision,
+        since: said.since,
+        prefix: if said.to.life == 0 { String::new() } else { prefix.clone() },
     }
 }
 
@@ -127,9 +137,16 @@
     let (news, mut inbox) = mpsc::channel(INBOX);
     let (heard, mut voters) = mpsc::channel(INBOX);
     let (conns, others) = (HashMap::new(), HashMap::new());
-    let links_of = Links::default();
-    let mut a =
-        Actor { term: start.terms.term, voter, past, conns, others, store: start.store, links: links_of };
+    let mut a = Actor {
+        term: start.terms.term,
+        voter,
+        past,
+        revisions: Revisions::new(epoch.max(1)),
+        conns,
+        others,
+        store: start.store,
+        links: Links::default(),
+    };
     tracing::info!(whole = a.voter.is_whole(), "the voter begins");
     // Links to the other voters, while there is something to learn from them.
     let mut links = tokio::task::JoinSet::new();
@@ -200,12 +217,8 @@
         let now = awake();
         // Kept while it still waits, it would let the next start vote before the wait is over.
         let Some(store) = self.store.as_ref().filter(|_| self.voter.votes(now)) else { return true };
-        let done = store.put(
-            VOTES,
-            FORMAT,
-            now,
-            &kept(&self.voter, &self.past, now, &wire::Record::default()).encode_to_vec(),
-        );
+        let all = kept(&self.voter, &self.past, now, &wire::Record::default(), Said::default(), |_| true);
+        let done = store.put(VOTES, FORMAT, now, &all.encode_to_vec());
         if let Err(e) = &done {
             tracing::error!(error = %e, "votes cannot be kept; none is said");
         }
@@ -235,6 +248,18 @@
         }
     }
 
+    /// What it keeps, for who asks. Who asks for all duties wants to know how long each is taken, which changes
+    /// all the time.
+    fn record(&mut self, now: i64, asked: &wire::Record) -> wire::Kept {
+        let (mut said, of_some) = (Said::default(), asked.brief && !asked.prefix.is_empty());
+        if of_some {
+            let has = Have { life: asked.life, revision: asked.revision };
+            said = self.revisions.answer(has, self.voter.kept());
+        }
+        let names = |duty: &Rc<str>| !of_some || self.revisions.names(&said, duty);
+        kept(&self.voter, &self.past, now, asked, said, names)
+    }
+
     /// Who has a duty is remembered from the first renewal on: before that it may be one of many that try.
     fn remember(&mut self, duty: &Rc<str>) {
         let Some(kept) = self.voter.kept_of(duty).filter(|k| k.renewed) else { return };
@@ -333,7 +358,7 @@
                 false
             }
             Body::Record(r) => {
-                replies.push((conn, Body::Kept(kept(&self.voter, &self.past, now, &r))));
+                replies.push((conn, Body::Kept(self.record(now, &r))));
                 false
             }
             Body::Query(q) if q.what == "traffic" => {
