--- a/cli/src/measure_scale/laid.rs
+++ b/cli/src/measure_scale/laid.rs
@@ -26,6 +26,7 @@
     measure: Measure,
     zones: Vec<String>,
     listens: Vec<String>,
+    advertise: Vec<String>,
     seated: Vec<Seated>,
     real: Vec<Option<Process>>,
     hollow: Vec<Process>,
@@ -171,6 +172,7 @@
             measure: m.clone(),
             zones,
             listens,
+            advertise,
             seated: Vec::new(),
             real: reals,
             hollow: Vec::new(),
@@ -194,7 +196,7 @@
             let to = (from + each).min(real + hollow);
             let each = |all: &[String]| all[from..to].join(",");
             let (register, zone) = (each(&registered), each(&laid.zones));
-            let (listen, at) = (each(&laid.listens), each(&advertise));
+            let (listen, at) = (each(&laid.listens), each(&laid.advertise));
             let mut args = vec!["hollow", "planners"];
             args.extend(files[from..to].iter().map(String::as_str));
             let more = ["--register", &register, "--listen", &listen, "--advertise", &at, "--zone", &zone];
@@ -357,11 +359,7 @@
             let mut sum = of_ends.get(&s.seat).copied().unwrap_or_default();
             sum.add(&turned(&self.to_voters[s.place].traffic.borrow()));
             sum.add(&turned(&self.to_register[s.place].traffic.borrow()));
-            for (name, of) in &*self.before[s.place].0.by.borrow() {
-                if name.starts_with(crate::council::SEATS) {
-                    sum.add(of);
-                }
-            }
+            sum.add(&self.before[s.place].0.traffic.borrow());
             for (way, _) in &self.before {
                 if let Some(of) = way.by.borrow().get(&s.seat) {
                     sum.add(&turned(of));
@@ -540,15 +538,15 @@
     }
 
     /// Whether what each real planner counts itself, by kind, lies between what the far ends of its links
-    /// counted before it was asked and after; none where planners do not count. Operators' questions and the
-    /// beginnings and ends of links are left out: this one is a question of that sort.
+    /// counted before it was asked and after; none where planners do not count. It is asked through the relay
+    /// before it, so that the question is counted at both ends, too.
     async fn planners_add_up(&mut self) -> io::Result<Option<bool>> {
         let mut left = self.measured();
         for _ in 0..50 {
             let mut still = Vec::new();
             for (seat, place) in left {
                 let before = self.each().await?;
-                let args = ["planner", "--planner", &self.listens[place], "-o", "json"];
+                let args = ["planner", "--planner", &self.advertise[place], "-o", "json"];
                 let out = tokio::process::Command::new(std::env::current_exe()?).args(args).output().await?;
                 let told: Value = serde_json::from_slice(&out.stdout).unwrap_or_default();
                 if told["traffic"].is_null() {
@@ -565,8 +563,7 @@
                     let (least, own, most) = (four(&before), four(&own), four(&after));
                     (0..4).all(|i| (least[i]..=most[i]).contains(&own[i]))
                 };
-                let counted = (0..KINDS.len()).filter(|n| !matches!(KINDS[*n], "operators" | "links"));
-                let off: Vec<&str> = counted.filter(|n| !within(*n)).map(|n| KINDS[n]).collect();
+                let off: Vec<&str> = (0..KINDS.len()).filter(|n| !within(*n)).map(|n| KINDS[n]).collect();
                 if !off.is_empty() {
                     tracing::info!(seat, ?off, ?before, ?own, ?after, "a planner's counts");
                     still.push((seat, place));
