Measure-scale: a successor of a seat is counted as another planner; control is all but tasks

A planner that took a killed one's seat had the other's counts taken off its own. Drains were left out of what control costs.

--- a/cli/src/measure_scale/laid.rs
+++ b/cli/src/measure_scale/laid.rs
@@ -54,7 +54,8 @@
     /// Seconds of processor time that this process, and that all of the machine's, have used.
     own_s: f64,
     busy_s: f64,
-    traffic: BTreeMap<String, Traffic>,
+    /// By seat and place: a successor is another planner.
+    traffic: BTreeMap<(String, usize), Traffic>,
 }
 
 /// The next line of any of these, and whose it is.
@@ -338,10 +339,17 @@
         Ok(Reading { at, used, own_s, busy_s, traffic: self.traffic().await? })
     }
 
-    /// What each real planner carried so far, by its seat.
-    async fn traffic(&mut self) -> io::Result<BTreeMap<String, Traffic>> {
+    /// What each real planner carried so far.
+    async fn traffic(&mut self) -> io::Result<BTreeMap<(String, usize), Traffic>> {
         let each = self.each().await?;
-        Ok(self.measured().into_iter().filter_map(|(seat, place)| Some((seat, *each.get(&place)?))).collect())
+        Ok(self
+            .measured()
+            .into_iter()
+            .filter_map(|of| {
+                let t = *each.get(&of.1)?;
+                Some((of, t))
+            })
+            .collect())
     }
 
     /// What each planner carried so far, by its place, as the far ends of its links and the relays on them
@@ -614,10 +622,10 @@
 }
 
 /// Of real planners that had a seat all the while, a second: a row a kind with mean and largest, and all of
-/// each planner. `control` is all but tasks and operators.
+/// each planner. `control` is all but tasks.
 fn traffic_of(before: &Reading, now: &Reading, seconds: f64) -> (Value, Value) {
     let had = now.traffic.iter().filter(|t| before.traffic.contains_key(t.0));
-    let each: Vec<(&String, Traffic)> = had.map(|(s, t)| (s, minus(t, before.traffic.get(s)))).collect();
+    let each: Vec<(&String, Traffic)> = had.map(|(s, t)| (&s.0, minus(t, before.traffic.get(s)))).collect();
     let n = each.len().max(1) as f64;
     type Part<'a> = &'a dyn Fn(&Traffic) -> (u64, u64);
     let row = |kind: &str, part: Part| {
@@ -634,7 +642,7 @@
         counts.fold((0, 0), |s, c| (s.0 + c.bytes_in + c.bytes_out, s.1 + c.frames_in + c.frames_out))
     };
     let mut rows: Vec<Value> = KINDS.iter().map(|kind| row(kind, &|t| of(t, &|k| k == *kind))).collect();
-    let control = |k: &str| !matches!(k, "tasks" | "operators");
+    let control = |k: &str| k != "tasks";
     rows.push(row("control", &|t| of(t, &control)));
     let planners: Map<String, Value> = each.iter().map(|(s, t)| ((*s).clone(), t.view())).collect();
     (Value::Array(rows), Value::Object(planners))
