--- a/aperture/src/part.rs
+++ b/aperture/src/part.rs
@@ -2,9 +2,9 @@
 //!
 //! A machine is taken on as soon as this planner's own view deals it here. It is let go only once the view
 //! has dealt it elsewhere for `hold`, so that views may differ for that long: whoever had the machine when
-//! the views last agreed still has it. Seats count as live from when they are heard until they are unheard
-//! for a time. Only time in which this planner itself ran counts: one that was stopped and wakes takes its
-//! own silence for nobody else's.
+//! the views last agreed still has it. A seat that the council tells to be vacant without a break for a time
+//! has its machines taken over. Only time in which this planner itself ran counts: one that was stopped and
+//! wakes takes its own absence for nobody else's.
 use crate::deal::{deal, weight};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -16,8 +16,8 @@
     /// Hashes of all seats' names, in the installation's order, and which of them is this planner's.
     pub seats: Vec<u64>,
     pub me: usize,
-    /// A seat that is unheard for so long has its machines taken over.
-    pub unheard: i64,
+    /// A seat that nobody holds for so long has its machines taken over.
+    pub vacant: i64,
     /// A machine that is dealt elsewhere is let go after this time; views may differ for as long.
     pub hold: i64,
     /// A guest that has held nothing for so long goes.
@@ -27,15 +27,15 @@
 }
 
 impl Terms {
-    /// By the council's term: a seat is unheard after two of them. Two more cover that voters tell it late
-    /// and that the planners hear it in any order; 4 s are for a list that is late, as lists are.
+    /// By the council's term: a seat is vacant once all voters in turn tell so for three of them. Four cover
+    /// that planners hear of it at different times and in any order; 4 s are for a list that is late.
     pub fn of_term(copies: usize, seats: Vec<u64>, me: usize, term: i64) -> Terms {
-        Terms { copies, seats, me, unheard: 2 * term, hold: 4 * term + 4_000_000, idle: 4 * term, guests: 32 }
+        Terms { copies, seats, me, vacant: 3 * term, hold: 4 * term + 4_000_000, idle: 4 * term, guests: 32 }
     }
 
     /// How often a planner lets time pass here, at the least: a longer break is one in which it did not run.
     pub fn step(&self) -> i64 {
-        (self.unheard / 8).max(1)
+        (self.vacant / 8).max(1)
     }
 }
 
@@ -87,7 +87,8 @@
     visited: BTreeSet<usize>,
     strata: BTreeMap<(usize, usize), BTreeSet<(u64, usize)>>,
     dirty: BTreeSet<(usize, usize)>,
-    heard: Vec<i64>,
+    /// Since when each seat is vacant.
+    vacant: Vec<Option<i64>>,
     live: Vec<bool>,
     /// How many times the even part this one is, in percent.
     width: u32,
@@ -95,7 +96,7 @@
 }
 
 impl Part {
-    /// All seats count as heard at first: which of them are not shows within their time.
+    /// All seats count as held at first: which of them are not shows in time.
     pub fn new(now: i64, terms: Terms) -> Part {
         let seats = terms.seats.len();
         Part {
@@ -105,7 +106,7 @@
             visited: BTreeSet::new(),
             strata: BTreeMap::new(),
             dirty: BTreeSet::new(),
-            heard: vec![0; seats],
+            vacant: vec![None; seats],
             live: vec![true; seats],
             width: 100,
             changed: VecDeque::new(),
@@ -148,10 +149,10 @@
         self.dirty.insert(stratum);
     }
 
-    /// A planner is seated under a seat and was heard, or the council says that its seat is held.
-    pub fn heard(&mut self, seat: usize) {
-        if let Some(at) = self.heard.get_mut(seat) {
-            *at = self.ran;
+    /// The council tells whether a seat is held.
+    pub fn seat(&mut self, seat: usize, held: bool) {
+        if let Some(since) = self.vacant.get_mut(seat) {
+            *since = (!held).then(|| since.unwrap_or(self.ran));
         }
     }
 
@@ -220,6 +221,10 @@
         self.live.iter().filter(|l| **l).count()
     }
 
+    pub fn seats(&self) -> usize {
+        self.live.len()
+    }
+
     pub fn width(&self) -> u32 {
         self.width
     }
@@ -239,8 +244,9 @@
     pub fn clock(&mut self, now: i64, busy: impl Fn(usize) -> bool) {
         self.ran += (now - self.now).clamp(0, 2 * self.terms.step());
         self.now = self.now.max(now);
-        self.heard[self.terms.me] = self.ran;
-        let live: Vec<bool> = self.heard.iter().map(|at| self.ran - at < self.terms.unheard).collect();
+        self.vacant[self.terms.me] = None;
+        let lives = |since: &Option<i64>| since.is_none_or(|at| self.ran - at < self.terms.vacant);
+        let live: Vec<bool> = self.vacant.iter().map(lives).collect();
         if live != self.live {
             self.live = live;
             self.dirty.extend(self.strata.keys());
