Planner: links to its part of the fleet alone, with guests and kept machines

With `parts` in the settings and a council, a planner dials what aperture/ deals its seat. Each listed machine is visited once in a planner's life, as an earlier life of the seat may have launched anywhere; then only the part, guests and machines with tasks of its own stay linked. A task that nothing linked could take, or that waits too long, is a question to the register (Fetch with what is needed), and what it names are guests. The list is watched brief: changes of room alone are told of draining machines only, so the module does not count on listed room. Evidence on halls is of the part, the line's room is scaled to the fleet.

--- a/aperture/src/part.rs
+++ b/aperture/src/part.rs
@@ -211,6 +211,16 @@
         self.machines.keys().filter(|m| !self.visited.contains(m)).count()
     }
 
+    /// Machines that the list has.
+    pub fn listed_count(&self) -> usize {
+        self.machines.len()
+    }
+
+    /// Machines that are offered work.
+    pub fn offered(&self) -> impl Iterator<Item = usize> + '_ {
+        self.machines.iter().filter(|x| matches!(x.1.role, Role::Worked | Role::Guest)).map(|x| *x.0)
+    }
+
     /// Machines that the view deals here.
     pub fn mine(&self) -> usize {
         self.machines.values().filter(|x| x.mine).count()
--- a/audit/tests/forged.rs
+++ b/audit/tests/forged.rs
@@ -192,6 +192,7 @@
     let list = |readiness: Readiness| List {
         whole: false,
         stamp: 1,
+        question: 0,
         entries: vec![Entry { machine: "m0".into(), readiness: readiness as i32, ..Entry::default() }],
     };
     for (at, back, want) in [(2 * S, false, vec![]), (2 * S + 1, false, vec![3]), (3 * S, true, vec![])] {
--- a/cli/src/measure.rs
+++ b/cli/src/measure.rs
@@ -113,7 +113,7 @@
                 link: 1,
                 login: String::new(),
             };
-            let list = wire::List { whole: true, stamp: 1, entries: entries.clone() };
+            let list = wire::List { whole: true, stamp: 1, entries: entries.clone(), question: 0 };
             tokio::task::spawn_local(link::run(stream, me, clock, inbox, news, |n| n));
             tokio::task::spawn_local(async move {
                 while let Some(news) = heard.recv().await {
--- a/cli/src/roll.rs
+++ b/cli/src/roll.rs
@@ -101,7 +101,7 @@
         let mut plan = plan;
         while let Some(word) = duties.recv().await {
             match word {
-                Duty::Seats(_) => {}
+                Duty::Seats(_) | Duty::Held(_) => {}
                 Duty::Won { token, .. } => {
                     // A new roll is named by the token: it rises from one to the next.
                     plan.id = if plan.id == 0 { token } else { plan.id };
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -4,6 +4,7 @@
 use basaltpitch::host::{Given, Value};
 use basaltpitch_agent::session::{Links, Party};
 use basaltpitch_agent::wire::Role;
+use basaltpitch_aperture::{hash, Terms};
 use basaltpitch_planner::core::Who;
 use basaltpitch_planner::council::{self, Tenure, Wish, Word};
 use basaltpitch_planner::halls;
@@ -88,6 +89,13 @@
     installation.all.list("kinds").iter().map(size).collect()
 }
 
+/// The terms of a planner's part, where the installation has parts, and all seats.
+fn part(installation: &Installation, seats: &[Rc<str>], me: usize) -> Option<(Terms, Vec<Rc<str>>)> {
+    let (copies, term) = (installation.copies()?, installation.all.time("council.term")?);
+    let names = seats.iter().map(|seat| hash(seat)).collect();
+    Some((Terms::of_term(copies, names, me, term), seats.to_vec()))
+}
+
 impl Serve {
     pub fn run(self, json: bool) -> Result<(), Failure> {
         let installation = load(&self.files)?;
@@ -238,7 +246,12 @@
             Laid::Number(n) => Value::Number(n),
             Laid::Text(t) => Value::Text(t),
         };
-        let given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
+        let mut given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
+        let part = under.as_ref().and_then(|under| part(installation, &under.seats, number));
+        if part.is_some() {
+            // The brief list tells no room.
+            given.insert("familyInfo.view".into(), Value::Number(0.0));
+        }
         let clauses = crate::clauses_of(installation)?;
         let directory = crate::directory_of(installation)?;
         let store = match (self.state.as_ref().map(|folder| open(folder, &name)).transpose(), &under) {
@@ -288,8 +301,20 @@
         };
         let (tenure, duties, meeting) = under.map_or((None, None, None), meets);
         let weighs = installation.all.text("admission") != Some("none");
-        let start =
-            Start { who, given, record, clauses, directory, store, tenure, duties, weighs, meeting, links };
+        let start = Start {
+            who,
+            given,
+            record,
+            clauses,
+            directory,
+            store,
+            tenure,
+            duties,
+            weighs,
+            meeting,
+            part,
+            links,
+        };
         service::serve(listener, start, stop).await;
         Ok(())
     }
--- a/council/src/record.rs
+++ b/council/src/record.rs
@@ -9,7 +9,7 @@
 //! for all again. Why nothing older is told: of each duty what was told last is kept, and only what is above
 //! it is news, whichever voter says it.
 use crate::voter::Kept;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The life of a voter, by the time of its start, and the revision of its record there. 0: none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -25,7 +25,7 @@
     pub to: Have,
 }
 
-/// What counts as a change: not that a holder renewed its term.
+/// What counts as a change: that a term lapsed, not that a holder renewed it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Face {
     token: u64,
@@ -48,13 +48,18 @@
     }
 
     /// How to answer who has this, of a record that is kept like this now.
-    pub fn answer<'a, M: 'a>(&mut self, has: Have, kept: impl Iterator<Item = (&'a D, &'a Kept<M>)>) -> Said
+    pub fn answer<'a, M: 'a>(
+        &mut self,
+        now: i64,
+        has: Have,
+        kept: impl Iterator<Item = (&'a D, &'a Kept<M>)>,
+    ) -> Said
     where
         D: 'a,
     {
         let next = self.now.revision + 1;
         for (duty, k) in kept {
-            let (held, note) = (k.holder.is_some(), (k.note.token, k.note.number));
+            let (held, note) = (k.holder.is_some() && now < k.until, (k.note.token, k.note.number));
             let face = Face { token: k.token, held, renewed: k.renewed, note };
             if self.changed.get(duty).is_none_or(|(before, _)| *before != face) {
                 self.changed.insert(duty.clone(), (face, next));
@@ -119,3 +124,34 @@
         self.told.extend(news);
     }
 }
+
+/// Which duties are held, as each voter tells it by what changed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Holders<D>(BTreeMap<usize, BTreeSet<D>>);
+
+impl<D> Default for Holders<D> {
+    fn default() -> Self {
+        Holders(BTreeMap::new())
+    }
+}
+
+impl<D: Ord> Holders<D> {
+    /// A voter's answer that counts names these duties, each held or not.
+    pub fn told(&mut self, voter: usize, said: &Said, named: impl IntoIterator<Item = (D, bool)>) {
+        let held = self.0.entry(voter).or_default();
+        if said.since == 0 {
+            held.clear();
+        }
+        for (duty, holds) in named {
+            match holds {
+                true => drop(held.insert(duty)),
+                false => drop(held.remove(&duty)),
+            }
+        }
+    }
+
+    /// Duties that are held, as this voter told last.
+    pub fn of(&self, voter: usize) -> impl Iterator<Item = &D> {
+        self.0.get(&voter).into_iter().flatten()
+    }
+}
--- a/council/tests/record.rs
+++ b/council/tests/record.rs
@@ -1,8 +1,8 @@
 //! Every state that a voter's record, one that asks for it, and the frames between them can reach within
 //! stated bounds: duties that change, frames lost, late, overtaken and doubled, answers that are not taken
-//! in, and a voter that starts again with and without what it kept. What is told never goes back, and in
+//! in, terms that lapse, and a voter that starts again with and without what it kept. What is told never goes back, and in
 //! every state one undisturbed question is enough for the asker to know all that the voter keeps.
-use basaltpitch_council::record::{Have, Known, Revisions, Said};
+use basaltpitch_council::record::{Have, Holders, Known, Revisions, Said};
 use basaltpitch_council::voter::Kept;
 use basaltpitch_council::Note;
 use pathfinding::directed::bfs::bfs_reach;
@@ -14,11 +14,14 @@
 
 /// What an answer says of a duty: token, number of its note.
 type Named = BTreeMap<u8, (u64, u64)>;
+/// The voter's time: terms that lapsed ended at 0, all others last.
+const NOW: i64 = 0;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 enum Frame {
     Ask(Have),
-    Answer(Said, Named),
+    /// With those of the named that are held.
+    Answer(Said, Named, BTreeSet<u8>),
 }
 
 /// What is taken away, to see that the check notices it.
@@ -33,6 +36,10 @@
     Since,
     /// What is told is not compared with what was told before.
     News,
+    /// That a term lapsed is no change.
+    Lapse,
+    /// Who holds what is taken from an answer whose revision is not.
+    Together,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -56,6 +63,7 @@
     kept: BTreeMap<u8, Kept<u8>>,
     revisions: Revisions<u8>,
     known: Known<&'static str, u8>,
+    holders: Holders<u8>,
     /// What was told last of each duty.
     told: Named,
     net: BTreeSet<Frame>,
@@ -74,6 +82,7 @@
             kept: BTreeMap::new(),
             revisions: Revisions::new(1),
             known: Known::default(),
+            holders: Holders::default(),
             told: Named::new(),
             net: BTreeSet::new(),
             changes: 0,
@@ -85,17 +94,19 @@
     }
 
     fn answer(&mut self, mut has: Have) -> Frame {
+        let now = if self.without == Without::Lapse { NOW - 1 } else { NOW };
         if self.without == Without::Life && has.life != 0 {
-            has.life = self.revisions.answer(Have::default(), self.kept.iter()).to.life;
+            has.life = self.revisions.answer(now, Have::default(), self.kept.iter()).to.life;
         }
-        let said = self.revisions.answer(has, self.kept.iter());
-        let named = self.kept.iter().filter(|(duty, _)| self.revisions.names(&said, duty));
-        let named = named.map(|(duty, k)| (*duty, (k.token, k.note.number))).collect();
-        Frame::Answer(said, named)
+        let said = self.revisions.answer(now, has, self.kept.iter());
+        let named = || self.kept.iter().filter(|(duty, _)| self.revisions.names(&said, duty));
+        let held = named().filter(|(_, k)| NOW < k.until).map(|(duty, _)| *duty).collect();
+        let named = named().map(|(duty, k)| (*duty, (k.token, k.note.number))).collect();
+        Frame::Answer(said, named, held)
     }
 
     /// An answer comes, and what it brings is taken in or not.
-    fn hears(&mut self, said: &Said, named: &Named, takes: bool) {
+    fn hears(&mut self, said: &Said, named: &Named, held: &BTreeSet<u8>, takes: bool) {
         let has = self.known.has(VOTER, &PART);
         let counts = match self.without {
             Without::Life => true,
@@ -112,7 +123,10 @@
             let older = |(duty, of): (&u8, &(u64, u64))| self.told.get(duty).is_some_and(|told| of < told);
             self.went_back |= news.iter().any(older);
             self.told.extend(news.clone());
+            self.holders.told(VOTER, said, named.keys().map(|duty| (*duty, held.contains(duty))));
             self.known.took(VOTER, &PART, said, news);
+        } else if self.without == Without::Together {
+            self.holders.told(VOTER, said, named.keys().map(|duty| (*duty, held.contains(duty))));
         } else if self.without == Without::Taken {
             self.known.took(VOTER, &PART, said, []);
         }
@@ -129,11 +143,17 @@
                 let k = token.kept.entry(duty).or_default();
                 k.token += 1;
                 (k.holder, k.renewed, k.note) = (Some(0), true, Note { token: k.token, ..Note::default() });
+                k.until = NOW + 1;
                 all.push(token);
+                let mut lapsed = note.clone();
                 if let Some(k) = note.kept.get_mut(&duty) {
                     k.note.number += 1;
                     all.push(note);
                 }
+                if let Some(k) = lapsed.kept.get_mut(&duty).filter(|k| NOW < k.until) {
+                    k.until = NOW;
+                    all.push(lapsed);
+                }
             }
         }
         if self.asks < self.bounds.asks {
@@ -149,8 +169,8 @@
             }
         }
         if self.anew < self.bounds.anew {
-            let (known, told) = (Known::default(), Named::new());
-            all.push(World { anew: self.anew + 1, known, told, ..self.clone() });
+            let (known, told, holders) = (Known::default(), Named::new(), Holders::default());
+            all.push(World { anew: self.anew + 1, known, told, holders, ..self.clone() });
         }
         for frame in &self.net {
             let mut w = self.clone();
@@ -165,10 +185,10 @@
                     w.net.insert(answer);
                     all.push(w);
                 }
-                Frame::Answer(said, named) => {
+                Frame::Answer(said, named, held) => {
                     for takes in [true, false] {
                         let mut w = w.clone();
-                        w.hears(said, named, takes);
+                        w.hears(said, named, held, takes);
                         all.push(w);
                     }
                 }
@@ -182,12 +202,19 @@
             return Some("something older was told");
         }
         let mut w = self.clone();
-        if let Frame::Answer(said, named) = w.answer(w.known.has(VOTER, &PART)) {
-            w.hears(&said, &named, true);
+        if let Frame::Answer(said, named, held) = w.answer(w.known.has(VOTER, &PART)) {
+            w.hears(&said, &named, &held, true);
         }
         let knows =
             |(duty, k): (&u8, &Kept<u8>)| w.told.get(duty).is_some_and(|t| *t >= (k.token, k.note.number));
-        (!w.kept.iter().all(knows)).then_some("something is never told")
+        if !w.kept.iter().all(knows) {
+            return Some("something is never told");
+        }
+        let holds: BTreeSet<u8> =
+            w.kept.iter().filter(|(_, k)| NOW < k.until).map(|(duty, _)| *duty).collect();
+        // What the other guards are for shows in what is told, if not as early.
+        let looks = matches!(self.without, Without::Nothing | Without::Lapse | Without::Together);
+        (looks && !w.holders.of(VOTER).eq(&holds)).then_some("who holds what is not known")
     }
 }
 
@@ -222,4 +249,6 @@
     assert_eq!(explore(Without::Taken, PLAIN), Err("something is never told"));
     assert_eq!(explore(Without::Since, ANEW), Err("something is never told"));
     assert_eq!(explore(Without::News, PLAIN), Err("something older was told"));
+    assert_eq!(explore(Without::Together, PLAIN), Err("who holds what is not known"));
+    assert_eq!(explore(Without::Lapse, PLAIN), Err("who holds what is not known"));
 }
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -6,6 +6,7 @@
 mod clauses;
 mod machines;
 mod owners;
+mod parts;
 mod tenants;
 
 use crate::bounds::{Bounds, Stands};
@@ -15,7 +16,7 @@
 use crate::standing::{Link, Standing};
 use crate::tenancy::{Asked, Learnt, Task, Tenancy};
 use crate::told::{outcome_number, ready_number, Told};
-use basaltpitch::host::{number, text, Given, Outcome, Readiness};
+use basaltpitch::host::{number, text, Belief, Given, Outcome, Readiness};
 use basaltpitch::logic::Planner;
 use basaltpitch_agent::dial::{Dials, Pace};
 use basaltpitch_agent::wire::{self, Body};
@@ -128,6 +129,8 @@
     hall_counts: Vec<[u64; 2]>,
     /// A report that came with the frame being handled.
     report: Vec<f64>,
+    /// The planner's part of the fleet, where it has one.
+    part: Option<parts::Parts>,
     out: VecDeque<Out>,
     pub counts: Counts,
 }
@@ -156,6 +159,8 @@
     frameworks: Vec<(String, Kind)>,
     zones: Vec<String>,
     kinds: Vec<String>,
+    /// By framework: the kind of machine that its tasks are bound to.
+    kind_of: Vec<Option<usize>>,
 }
 
 impl Names {
@@ -167,7 +172,9 @@
             _ => Kind::OnceOnly,
         };
         let frameworks = list(&|i| format!("classes.{i}.name"));
+        let bound = |i| number(given, &format!("familyInfo.classKind.{i}")).filter(|k| *k >= 0.0);
         Names {
+            kind_of: (0..frameworks.len()).map(|i| bound(i).map(|k| k as usize)).collect(),
             frameworks: frameworks.into_iter().enumerate().map(|(i, name)| (name, kind(i))).collect(),
             zones: list(&|i| format!("localities.{i}")),
             kinds: list(&|i| format!("machineTypes.{i}")),
@@ -228,6 +235,7 @@
             connect_us,
             hall_counts: Vec::new(),
             report: Vec::new(),
+            part: None,
             out: VecDeque::new(),
             counts: Counts::default(),
         };
@@ -264,6 +272,7 @@
                 Due::Probe(n) => self.probe_failed(n, Outcome::TimedOut),
                 Due::Round => self.round(),
                 Due::Line => self.draw_line(),
+                Due::Part => self.part_due(),
             }
             self.settle();
         }
@@ -294,7 +303,9 @@
         self.placing.host.timers.set(now + LINE, Due::Line);
         let Some(mut door) = self.door.take() else { return };
         let ready = self.machines().filter(|(_, s, _)| s.readiness() == Readiness::Ready);
-        door.draw(now, ready.map(|x| x.2));
+        let fleet = self.fleet_over_part();
+        // The line is that of the whole fleet, of which a part is a sample.
+        door.draw(now, ready.map(|x| Belief { cores: fleet * x.2.cores, ucac: fleet * x.2.ucac, ..x.2 }));
         self.door = Some(door);
     }
 
@@ -376,6 +387,7 @@
             Act::Wanted { task, left_us } => {
                 let Some((job, s)) = self.enter_service(task) else { return };
                 let (f, tenant, asks) = (job.framework, job.tenant, (job.cores, job.memory));
+                self.task_waits(task, &job, left_us);
                 self.tell(Told::Wanted { task, f, tenant, s, asks, left: left_us });
             }
             Act::Found { task, machine } => {
@@ -385,9 +397,13 @@
                 self.tell(Told::Found { task, f, tenant, s, asks, m: machine });
             }
             Act::Accepted { task } => self.tell(Told::Accepted { task }),
-            Act::Expired { task } => self.tell(Told::Expired { task }),
+            Act::Expired { task } => {
+                self.task_waits_no_more(task);
+                self.tell(Told::Expired { task });
+            }
             Act::Resolved { task, outcome, why, over } => {
                 let (end, report) = (outcome_number(outcome), std::mem::take(&mut self.report));
+                self.task_resolved(task, outcome, over);
                 self.tell(Told::Resolved { task, end, why, over, report });
             }
             Act::Launch { key, launch, machine, time_out_us } => {
@@ -431,6 +447,9 @@
     fn launch(&mut self, key: Key, launch: Launch, machine: usize, time_out_us: i64) {
         self.counts.launched += 1;
         self.count_at(machine, 0);
+        if let Some(task) = self.placing.host.ledger.record(&key).and_then(|r| r.task) {
+            self.task_launched(task);
+        }
         let now = self.now();
         let link = self.known[machine].as_ref().map(|x| x.standing.link);
         let record = self.placing.host.ledger.record(&key);
@@ -492,6 +511,7 @@
                         a.reason = door.words.take().unwrap_or(a.reason);
                     }
                     (Reason::NoRoom, _) => {
+                        self.short_of_room();
                         let facts = self.placing.host.ledger.record(&key).and_then(|r| r.job.facts.clone());
                         if let Some(why) = facts.and_then(|f| self.kept_out(&f)) {
                             a.reason = format!("{}; {why}", a.reason);
@@ -528,9 +548,11 @@
             }
             Wish::Watch(on) if self.register_up => {
                 self.watching = on;
-                self.out.push_back(Out::Register(Body::Watch(wire::Watch { on })));
+                self.watch(on);
+            }
+            Wish::Fetch if self.register_up => {
+                self.out.push_back(Out::Register(Body::Fetch(wire::Fetch::default())))
             }
-            Wish::Fetch if self.register_up => self.out.push_back(Out::Register(Body::Fetch(wire::Fetch {}))),
             Wish::Watch(_) | Wish::Fetch => self.tell(Told::ListLost),
         }
     }
@@ -545,6 +567,7 @@
         }
         while let Some(m) = self.machines.leaves(now, KEEP_IDS) {
             self.known[m] = None;
+            self.part_forgets(m);
             self.tell(Told::MachineLeft { m });
         }
         if let Some(recorder) = &mut self.recorder {
--- a/planner/src/core/machines.rs
+++ b/planner/src/core/machines.rs
@@ -10,7 +10,7 @@
         self.register_up = true;
         if self.pushes {
             self.watching = true;
-            self.out.push_back(Out::Register(Body::Watch(wire::Watch { on: true })));
+            self.watch(true);
         }
     }
 
@@ -46,9 +46,11 @@
             }
         }
         self.tell(Told::ListBegins { whole: list.whole, fresh: true });
+        let mut named = Vec::new();
         let mut seen = vec![false; self.known.len()];
         for e in list.entries {
             let m = self.take_entry(e);
+            named.push(m);
             seen.resize(self.known.len(), false);
             seen[m] = true;
         }
@@ -64,9 +66,15 @@
         }
         self.tell(Told::ListEnds);
         self.settle();
+        self.part_listed(list.question, &named);
         Ok(())
     }
 
+    pub(super) fn watch(&mut self, on: bool) {
+        let brief = self.part.is_some();
+        self.out.push_back(Out::Register(Body::Watch(wire::Watch { on, brief })));
+    }
+
     pub(super) fn take_entry(&mut self, e: wire::Entry) -> usize {
         let now = self.now();
         let m = self.machines.see(e.machine.as_str().into(), now);
@@ -100,7 +108,7 @@
             if !std::mem::replace(&mut self.known[m].as_mut().expect("just seen").held, true) {
                 self.machines.hold_at(m);
             }
-            self.dials.want(m, now);
+            self.want(m);
         } else {
             self.off_list(m);
         }
@@ -112,6 +120,7 @@
     /// stands.
     pub(super) fn off_list(&mut self, m: usize) {
         self.dials.forget(m);
+        self.part_unlisted(m);
         let now = self.now();
         let Some(machine) = self.known[m].as_mut() else { return };
         if machine.standing.is_lost() {
@@ -154,7 +163,9 @@
         };
         let state = match ready {
             Readiness::Ready => State::Ready,
-            Readiness::Draining if machine.standing.link == Link::Well => State::Down,
+            Readiness::Draining if machine.standing.link == Link::Well && !machine.standing.outside => {
+                State::Down
+            }
             Readiness::Draining => State::Far,
             Readiness::Gone => State::Gone,
         };
@@ -395,6 +406,7 @@
             standing.link = Link::Well;
         }
         standing.drains = inventory.draining;
+        self.part_visited(m);
         self.stands_anew(m);
         Ok(())
     }
--- /dev/null
+++ b/planner/src/core/parts.rs
@@ -0,0 +1,289 @@
+//! The core's room for the planner's part of the fleet: between what the list, machines and tasks tell, and
+//! the decisions of `basaltpitch_aperture`. Without a part nothing here does anything: all that is listed is
+//! linked.
+use super::*;
+use basaltpitch_aperture::deal::weight;
+use basaltpitch_aperture::{hash, Ask, Need, Part, Role, Shortage, Terms};
+
+/// The part changes with time each so often.
+const TICK: i64 = 100_000;
+/// Endings follow an inventory at once; so long after it a link that is wanted for nothing else may go.
+const VISIT: i64 = 1_000_000;
+/// What was taken on so long ago is linked, if it answers at all.
+const LINKED: i64 = 5_000_000;
+/// Names that one question to the register holds at the most.
+const MOST_NAMES: usize = 32;
+
+pub(super) struct Parts {
+    part: Part,
+    shortage: Shortage,
+    /// Inventories that came, the oldest first.
+    visits: VecDeque<(i64, usize)>,
+    /// What tasks without an answer need, and when their time is over.
+    needs: HashMap<usize, (Need, i64)>,
+    /// When machines that are offered work were taken on.
+    taken: HashMap<usize, i64>,
+    born_at: i64,
+}
+
+impl Core {
+    /// From now on this planner links to a part of the fleet alone. To be called before anything else comes.
+    pub fn work_part(&mut self, now: i64, terms: Terms) {
+        self.set_clock(now);
+        let (part, shortage) = (Part::new(now, terms), Shortage::new(now));
+        let (visits, needs, taken) = (VecDeque::new(), HashMap::new(), HashMap::new());
+        self.part = Some(Parts { part, shortage, visits, needs, taken, born_at: now });
+        self.placing.host.timers.set(now + TICK, Due::Part);
+    }
+
+    /// The council tells which seats are held, by their places in the installation.
+    pub fn seats_held(&mut self, now: i64, held: impl Iterator<Item = usize>) {
+        self.set_clock(now);
+        let Some(parts) = &mut self.part else { return };
+        let held: Vec<usize> = held.collect();
+        (0..parts.part.seats()).for_each(|seat| parts.part.seat(seat, held.contains(&seat)));
+    }
+
+    pub(super) fn part_due(&mut self) {
+        let now = self.now();
+        self.placing.host.timers.set(now + TICK, Due::Part);
+        let Some(parts) = &mut self.part else { return };
+        while let Some((_, m)) = parts.visits.pop_front_if(|v| v.0 + VISIT <= now) {
+            // A link that fell since brings the inventory anew.
+            if self.known.get(m).and_then(Option::as_ref).is_some_and(|x| x.standing.link.stands()) {
+                parts.part.visited(m);
+            }
+        }
+        if let Some(ask) = parts.shortage.clock(now) {
+            self.ask_for_guests(ask);
+        }
+        self.part_settles();
+    }
+
+    /// What changed of the part takes effect.
+    fn part_settles(&mut self) {
+        let now = self.now();
+        let Some(parts) = &mut self.part else { return };
+        parts.part.widen(parts.shortage.width());
+        let ledger = &self.placing.host.ledger;
+        parts.part.clock(now, |m| !ledger.is_free(m));
+        while let Some(m) = self.part.as_mut().and_then(|x| x.part.next_changed()) {
+            self.part_changed(m);
+        }
+    }
+
+    fn part_changed(&mut self, m: usize) {
+        let now = self.now();
+        let Some(parts) = &mut self.part else { return };
+        let (links, offers) = (parts.part.links(m), parts.part.offers(m));
+        match offers {
+            true => drop(parts.taken.entry(m).or_insert(now)),
+            false => drop(parts.taken.remove(&m)),
+        }
+        let Some(machine) = self.known.get_mut(m).and_then(Option::as_mut) else { return };
+        machine.standing.outside = !offers;
+        if links && machine.standing.is_wanted() {
+            self.dials.want(m, now);
+        } else if machine.standing.is_wanted() {
+            self.dials.forget(m);
+            // A link that still comes up is of no use; what was not sent over one that ends is told.
+            if machine.standing.link != Link::None {
+                (machine.standing.link, machine.link) = (Link::None, 0);
+                self.out.push_back(Out::Hang { machine: m, why: "outside the planner's part" });
+            }
+        }
+        self.stands_anew(m);
+    }
+
+    /// The list has a machine, ready or draining.
+    pub(super) fn want(&mut self, m: usize) {
+        let now = self.now();
+        let Some(parts) = &mut self.part else { return self.dials.want(m, now) };
+        let Some(standing) = self.known[m].as_mut().map(|x| &mut x.standing) else { return };
+        let (kind, zone, _) = standing.place;
+        parts.part.listed(m, hash(self.machines.door.id(m)), zone, kind);
+        standing.outside = !parts.part.offers(m);
+        if standing.started >= parts.born_at {
+            // Nothing that an earlier life of the seat launched runs there.
+            parts.part.visited(m);
+        }
+    }
+
+    pub(super) fn part_unlisted(&mut self, m: usize) {
+        if let Some(parts) = &mut self.part {
+            parts.part.unlisted(m);
+        }
+    }
+
+    pub(super) fn part_forgets(&mut self, m: usize) {
+        if let Some(parts) = &mut self.part {
+            parts.part.forget(m);
+        }
+    }
+
+    pub(super) fn part_visited(&mut self, m: usize) {
+        let now = self.now();
+        if let Some(parts) = &mut self.part {
+            parts.visits.push_back((now, m));
+        }
+    }
+
+    /// Entries of the list are taken in; those that answer a question are invited.
+    pub(super) fn part_listed(&mut self, question: u64, named: &[usize]) {
+        let Some(parts) = &mut self.part else { return };
+        if question > 0 {
+            let ready = |m: usize| {
+                self.known[m].as_ref().is_some_and(|x| x.standing.listed == Some(Readiness::Ready))
+            };
+            let outside: Vec<usize> =
+                named.iter().copied().filter(|&m| ready(m) && !parts.part.offers(m)).collect();
+            if parts.shortage.answered(question, outside.len()) {
+                for m in outside {
+                    parts.part.invite(m);
+                }
+            }
+        }
+        self.part_settles();
+        self.settle();
+    }
+
+    fn ask_for_guests(&mut self, ask: Ask) {
+        let Some(parts) = &self.part else { return };
+        let name = |names: &[String], at: Option<usize>| at.map(|i| names[i].clone()).unwrap_or_default();
+        let mut among: Vec<usize> = Vec::new();
+        if self.placing.host.bounds.is_some() {
+            let listed = |m: &usize| {
+                self.known[*m].as_ref().is_some_and(|x| x.standing.listed == Some(Readiness::Ready))
+            };
+            let may = |m: &usize| !parts.part.offers(*m) && self.clauses_allow(ask.task, *m);
+            among = (0..self.known.len()).filter(listed).filter(may).collect();
+            if among.is_empty() {
+                return;
+            }
+            // Others each time, and of other planners.
+            let draw = |m: usize| weight(hash(self.machines.door.id(m)), self.who.seed ^ ask.number);
+            among.sort_by_cached_key(|&m| draw(m));
+            among.truncate(MOST_NAMES);
+        }
+        if self.register_up {
+            let fetch = wire::Fetch {
+                question: ask.number,
+                cores: ask.need.cores,
+                memory: ask.need.memory,
+                kind: name(&self.names.kinds, ask.need.kind),
+                zone: name(&self.names.zones, ask.need.zone),
+                among: among.into_iter().map(|m| self.machines.door.id(m).to_string()).collect(),
+                most: ask.most,
+            };
+            self.out.push_back(Out::Register(Body::Fetch(fetch)));
+        }
+    }
+
+    /// Whether clauses let a task go to a machine now, asked beside the module.
+    fn clauses_allow(&self, task: usize, m: usize) -> bool {
+        let bounds = self.placing.host.bounds.as_ref();
+        let group = bounds.and_then(|b| Some((b, b.group(task)?)));
+        group.is_none_or(|(b, g)| b.deciding.allows(g, m))
+    }
+
+    // Tasks that wait.
+
+    pub(super) fn task_waits(&mut self, task: usize, job: &Job, left: i64) {
+        if self.part.is_none() {
+            return;
+        }
+        let kind = self.names.kind_of.get(job.framework).copied().flatten();
+        let need = Need { cores: job.cores, memory: job.memory, kind, zone: None };
+        self.waits(task, need, self.now() + left);
+    }
+
+    fn waits(&mut self, task: usize, need: Need, limit_at: i64) {
+        let now = self.now();
+        let could = |m: usize| {
+            let machine = self.known.get(m).and_then(Option::as_ref);
+            let of_kind = machine.is_some_and(|x| need.kind.is_none_or(|k| k == x.standing.place.0));
+            let belief = self.placing.belief(m);
+            of_kind
+                && belief.cores >= need.cores
+                && belief.memory >= need.memory
+                && self.clauses_allow(task, m)
+        };
+        let could = self.part.as_ref().is_some_and(|x| x.part.offered().any(could));
+        if let Some(parts) = &mut self.part {
+            parts.needs.insert(task, (need, limit_at));
+            parts.shortage.waits(now, task, need, limit_at - now, could);
+        }
+    }
+
+    pub(super) fn task_launched(&mut self, task: usize) {
+        if let Some(parts) = &mut self.part {
+            parts.shortage.over(task);
+        }
+    }
+
+    pub(super) fn task_waits_no_more(&mut self, task: usize) {
+        if let Some(parts) = &mut self.part {
+            parts.shortage.over(task);
+            parts.needs.remove(&task);
+        }
+    }
+
+    /// A launch has an outcome: it is over, or the task waits again.
+    pub(super) fn task_resolved(&mut self, task: usize, outcome: Outcome, over: bool) {
+        if outcome == Outcome::Full {
+            self.short_of_room();
+        }
+        let need = self.part.as_mut().and_then(|x| x.needs.remove(&task));
+        match need {
+            Some((need, limit_at)) if !over => self.waits(task, need, limit_at),
+            _ => self.task_waits_no_more(task),
+        }
+    }
+
+    pub(super) fn short_of_room(&mut self) {
+        if let Some(parts) = &mut self.part {
+            parts.shortage.refused();
+        }
+    }
+
+    // What others are told.
+
+    /// How many times the part the fleet is, by the machines that the list has.
+    pub(super) fn fleet_over_part(&self) -> f64 {
+        let Some(parts) = &self.part else { return 1.0 };
+        let all = parts.part.listed_count() as f64;
+        all / (parts.part.offered().count().max(1) as f64)
+    }
+
+    /// Each machine that this planner can say something of: not those outside its part, which are unknown to
+    /// it and not gone, nor those that it has only just taken on.
+    pub(crate) fn machines_worked(
+        &self,
+    ) -> impl Iterator<Item = (usize, &Standing, basaltpitch::host::Belief)> {
+        let now = self.now();
+        let linked_by_now = move |m: usize| {
+            self.part.as_ref().is_none_or(|x| x.taken.get(&m).is_some_and(|at| now - at >= LINKED))
+        };
+        let all = self.machines();
+        all.filter(move |(m, s, _)| s.answers() && !s.outside || linked_by_now(*m))
+    }
+
+    /// What operators see of the part; none where the planner works the whole fleet.
+    pub(crate) fn part_view(&self) -> Option<Value> {
+        let parts = self.part.as_ref()?;
+        let (part, shortage) = (&parts.part, &parts.shortage);
+        let links = self.known.iter().flatten().filter(|x| x.standing.link.stands()).count();
+        Some(json!({
+            "listed": part.listed_count(), "dealt": part.mine(), "worked": part.count(Role::Worked),
+            "guests": part.count(Role::Guest), "kept": part.count(Role::Kept),
+            "to_visit": part.unvisited(), "links": links, "seats": part.live(),
+            "width_percent": part.width(), "why": shortage.why(),
+            "questions": shortage.questions, "questions_with_room": shortage.named,
+        }))
+    }
+
+    /// What a machine is to this planner, in words, where it has a part.
+    pub(crate) fn role_words(&self, m: usize) -> Option<&'static str> {
+        self.part.as_ref().map(|x| x.part.role(m).words())
+    }
+}
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -6,7 +6,7 @@
 use basaltpitch_agent::session::{Links, Party};
 use basaltpitch_agent::wire::{self, Body};
 use basaltpitch_council::member::{Call, Member};
-use basaltpitch_council::record::{Have, Known, Said};
+use basaltpitch_council::record::{Have, Holders, Known, Said};
 use basaltpitch_council::seats::Seats;
 use basaltpitch_council::{agreed, Answer, Note, Terms};
 use std::cell::Cell;
@@ -92,6 +92,8 @@
     /// A voter tells of all seats who has them: under which token, and what its holder has written there;
     /// and of words, by which token they were written.
     Seats(Vec<(Rc<str>, u64, Option<Vec<u8>>)>),
+    /// All seats that are held now, as a voter that tells all of them keeps it.
+    Held(Vec<Rc<str>>),
 }
 
 /// What the process asks of the council.
@@ -124,6 +126,8 @@
     looked: usize,
     /// What it has of each voter's record, by what the duties' names begin with.
     known: Known<Rc<str>, Rc<str>>,
+    /// Which seats are held, as each voter tells it.
+    holders: Holders<Rc<str>>,
     /// Of the duties beside the seat that are held: token and tenure, and the number of the last note
     /// written.
     held: BTreeMap<Rc<str>, (u64, Tenure, u64)>,
@@ -162,6 +166,7 @@
         of_words,
         looked: 0,
         known: Known::default(),
+        holders: Holders::default(),
         held: BTreeMap::new(),
         acts,
         notes: BTreeMap::new(),
@@ -264,9 +269,17 @@
         let all = kept.duties.iter().filter(held).map(seat).chain(words);
         let all = all.filter(|(of, told)| self.known.is_news(&told.0, *of));
         let (news, all): (Vec<_>, Vec<Told>) = all.map(|(of, told)| ((told.0.clone(), of), told)).unzip();
-        // Not taken, it is told at one of the next looks.
-        if all.is_empty() || acts.try_send(Duty::Seats(all)).is_ok() {
-            self.known.took(v, &part, &said, news);
+        // Not taken, it is told at one of the next looks; who holds what goes by the same revision.
+        if !all.is_empty() && acts.try_send(Duty::Seats(all)).is_err() {
+            return;
+        }
+        self.known.took(v, &part, &said, news);
+        if part == *prefix {
+            let is_seat = |d: &&wire::KeptDuty| d.duty.starts_with(&**prefix);
+            let lasts = |d: &wire::KeptDuty| d.renewed && !d.holder.is_empty() && d.left_us > 0;
+            let seats = kept.duties.iter().filter(is_seat).map(|d| (Rc::from(d.duty.as_str()), lasts(d)));
+            self.holders.told(v, &said, seats);
+            let _ = acts.try_send(Duty::Held(self.holders.of(v).cloned().collect()));
         }
     }
 
@@ -462,6 +475,7 @@
                     tracing::info!(seat = &*duty, token, "seated");
                     // Another life wants to be told all anew.
                     (self.seated, self.looked, self.known) = (Some(duty.clone()), 0, Known::default());
+                    self.holders = Holders::default();
                     let (acts, duties) = mpsc::channel(INBOX);
                     self.acts = Some(acts);
                     let _ = self.words.send(Word::Seated { seat: duty, token, duties }).await;
--- a/planner/src/hands.rs
+++ b/planner/src/hands.rs
@@ -38,6 +38,8 @@
     Round,
     /// The line of the door is drawn anew.
     Line,
+    /// The planner's part of the fleet changes with time.
+    Part,
 }
 
 /// Calls of the module that are not about a task.
--- a/planner/src/peers.rs
+++ b/planner/src/peers.rs
@@ -151,7 +151,7 @@
     fn of_halls(&self, core: &Core) -> Vec<OfHall> {
         let mut all: Vec<OfHall> =
             self.counted.iter().map(|c| [0.0, 0.0, 0.0, 0.0, 0.0, c.1[0], c.1[1]]).collect();
-        for (_, standing, belief) in core.machines() {
+        for (_, standing, belief) in core.machines_worked() {
             let Some(of) = all.get_mut(standing.place.1) else { continue };
             of[0] += 1.0;
             of[4] += f64::from(standing.answers());
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -14,12 +14,14 @@
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Links, Party};
 use basaltpitch_agent::wire::{Body, Role};
+use basaltpitch_aperture::Terms;
 use basaltpitch_clauses::Clause;
 use basaltpitch_directory::{Before, Directory, Fault, Seen, Swept};
 use basaltpitch_store::Store;
 use basaltpitch_tenants::keeper::FORMAT;
 use std::collections::HashMap;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, error::TrySendError};
@@ -71,6 +73,8 @@
     pub meeting: Option<Meeting>,
     /// What its links share with the others of the process.
     pub links: Links,
+    /// The part of the fleet that it links to, where it has one, and the names of all seats.
+    pub part: Option<(Terms, Vec<Rc<str>>)>,
 }
 
 /// Names of what is remembered of tenants: all of it, and when it was last heard in full.
@@ -188,6 +192,8 @@
     tenure: Option<Tenure>,
     rolls: Option<Rolls>,
     peers: Option<Peers>,
+    /// All seats in the installation's order, where the planner works a part.
+    seats: Vec<Rc<str>>,
     /// Where news of links to other planners go: they may be dropped, those of machines may not.
     later: mpsc::Sender<(From, News)>,
 }
@@ -198,7 +204,7 @@
 }
 
 async fn actor(listener: TcpListener, start: Start, stop: impl std::future::Future<Output = ()>) {
-    let Start { who, given, record, clauses, directory, store, tenure, duties, weighs, meeting, links } =
+    let Start { who, given, record, clauses, directory, store, tenure, duties, weighs, meeting, part, links } =
         start;
     let clock = Clock::start();
     let me = Party {
@@ -218,6 +224,7 @@
     if let Some(door) = door {
         core.weigh(clock.now(), door);
     }
+    let seats = part.map(|(terms, seats)| (core.work_part(clock.now(), terms), seats).1).unwrap_or_default();
     let (clauses, places) = clauses.into_iter().unzip();
     core.bind(clauses, places);
     let sweeps = directory.map(|directory| {
@@ -242,6 +249,7 @@
         tenure,
         rolls,
         peers: others,
+        seats,
         later,
     };
     let mut conns = 0;
@@ -390,6 +398,10 @@
                     peers.seated(now, &seat, token, address);
                 }
             }
+            (Duty::Held(held), ..) => {
+                let place = |seat: &Rc<str>| self.seats.iter().position(|s| s == seat);
+                self.core.seats_held(now, held.iter().filter_map(place));
+            }
             (word, _, Some(rolls)) => rolls.hear(now, word),
             _ => {}
         }
--- a/planner/src/standing.rs
+++ b/planner/src/standing.rs
@@ -45,6 +45,8 @@
     pub link: Link,
     /// Its hall is lost, or returns and it is not among those that are offered work yet.
     pub held_back: bool,
+    /// It is not of the planner's part of the fleet, nor a guest: linked, if at all, for what is on it.
+    pub outside: bool,
     /// The newest start that anyone told of, 0 where nobody did.
     pub started: i64,
     pub place: Place,
@@ -64,7 +66,9 @@
         match self.listed {
             None | Some(Readiness::Gone) => Readiness::Gone,
             Some(Readiness::Draining) => Readiness::Draining,
-            Some(Readiness::Ready) if !self.answers() || self.held_back => Readiness::Draining,
+            Some(Readiness::Ready) if !self.answers() || self.held_back || self.outside => {
+                Readiness::Draining
+            }
             Some(Readiness::Ready) => Readiness::Ready,
         }
     }
--- a/planner/src/view.rs
+++ b/planner/src/view.rs
@@ -103,6 +103,7 @@
         "watches_list": core.is_watching(),
         "open": core.ledger().open(),
         "counts": core.counts,
+        "part": core.part_view(),
         "line": core.door().map(|door| door.view()),
     })
 }
@@ -134,6 +135,7 @@
             "machine": core.machine_name(m),
             "state": ready,
             "link": s.link.words(),
+            "role": core.role_words(m),
             "drains": s.drains || s.listed == Some(Readiness::Draining),
             "cores": b.cores, "memory": b.memory,
             "c": rounded(b.c), "b": rounded(b.b), "ucac": rounded(b.ucac),
--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -254,7 +254,7 @@
         let (mut said, of_some) = (Said::default(), asked.brief && !asked.prefix.is_empty());
         if of_some {
             let has = Have { life: asked.life, revision: asked.revision };
-            said = self.revisions.answer(has, self.voter.kept());
+            said = self.revisions.answer(now, has, self.voter.kept());
         }
         let names = |duty: &Rc<str>| !of_some || self.revisions.names(&said, duty);
         kept(&self.voter, &self.past, now, asked, said, names)
--- a/planner/tests/net/mod.rs
+++ b/planner/tests/net/mod.rs
@@ -6,6 +6,7 @@
 use basaltpitch_agent::holder::{Holder, Id, Say, State};
 use basaltpitch_agent::why;
 use basaltpitch_agent::wire::{self, Body, EndedHow, Entry, Launch, LaunchId, Readiness};
+use basaltpitch_aperture as aperture;
 use basaltpitch_audit::{Auditor, Breach, Framework, Spot, Tally, Terms};
 use basaltpitch_planner::core::{Core, Out, Who, REGISTER};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -110,6 +111,9 @@
     pub heard: Vec<wire::Answer>,
     pub told: Vec<String>,
     pub launched: Vec<wire::Launch>,
+    /// Of a planner that works a part, and what was sent to the register.
+    pub part: Option<aperture::Terms>,
+    pub asked: Vec<Body>,
 }
 
 fn wire_id(id: Id) -> Option<LaunchId> {
@@ -163,6 +167,8 @@
             heard: Vec::new(),
             told: Vec::new(),
             launched: Vec::new(),
+            part: None,
+            asked: Vec::new(),
             starts: HashMap::new(),
         };
         for m in &net.machines {
@@ -181,8 +187,19 @@
         self.log += &format!("{} ms  {text}\n", (self.now - 100_000_000) / 1000);
     }
 
+    /// From now on the planner works a part.
+    pub fn work_part(&mut self, terms: aperture::Terms) {
+        self.part = Some(terms.clone());
+        self.core.work_part(self.now, terms);
+    }
+
     /// The register tells the planner how all machines are.
     pub fn list(&mut self, whole: bool) {
+        self.tell_list(whole, 0, |_| true);
+    }
+
+    /// A list of some machines, in answer to a question.
+    pub fn tell_list(&mut self, whole: bool, question: u64, of: impl Fn(usize) -> bool) {
         let entry = |m: &Mac| Entry {
             machine: m.name.clone(),
             address: m.name.clone(),
@@ -195,10 +212,13 @@
             memory_left: 0.0,
             labels: m.labels.clone(),
         };
-        let list = wire::List { whole, stamp: 0, entries: self.machines.iter().map(entry).collect() };
+        let entries = self.machines.iter().enumerate().filter(|x| of(x.0)).map(|x| entry(x.1)).collect();
+        let list = wire::List { whole, stamp: 0, entries, question };
         self.auditor.register_sent(self.now, &self.life(), &list);
-        (0..self.machines.len()).for_each(|m| self.start_heard(m));
-        self.core.register_up(self.now);
+        if question == 0 {
+            (0..self.machines.len()).for_each(|m| self.start_heard(m));
+            self.core.register_up(self.now);
+        }
         self.core.register_frame(self.now, Body::List(list)).expect("a list in order");
         self.carry();
     }
@@ -224,7 +244,8 @@
     fn carry(&mut self) {
         while let Some(out) = self.core.next_out() {
             match out {
-                Out::Dial { peer: REGISTER, .. } | Out::Register(_) => {}
+                Out::Dial { peer: REGISTER, .. } => {}
+                Out::Register(body) => self.asked.push(body),
                 Out::Dial { peer, link, name, .. } => {
                     let m = self.machines.iter().position(|m| *m.name == *name).expect("a listed machine");
                     self.index.insert(peer, m);
@@ -515,6 +536,9 @@
         self.note("the planner is killed".into());
         self.epoch += 1;
         self.core = Core::new(who(self.epoch), given(), self.now, None);
+        if let Some(terms) = self.part.clone() {
+            self.core.work_part(self.now, terms);
+        }
         self.index.clear();
         self.dials.clear();
         for m in 0..self.machines.len() {
--- a/planner/tests/recordings.rs
+++ b/planner/tests/recordings.rs
@@ -32,7 +32,7 @@
         ..wire::Entry::default()
     };
     core.register_up(50_000_000);
-    let list = wire::List { whole: true, stamp: 1, entries: (0..3).map(entry).collect() };
+    let list = wire::List { whole: true, stamp: 1, entries: (0..3).map(entry).collect(), question: 0 };
     core.register_frame(50_000_000, Body::List(list)).unwrap();
     core.clock(50_000_000);
     while let Some(out) = core.next_out() {
--- a/planner/tests/rolls.rs
+++ b/planner/tests/rolls.rs
@@ -41,7 +41,7 @@
             memory_left: 16.0,
             ..Entry::default()
         };
-        let list = List { whole: true, stamp: 1, entries: machines.iter().map(entry).collect() };
+        let list = List { whole: true, stamp: 1, entries: machines.iter().map(entry).collect(), question: 0 };
         self.rolls.listed(self.now, &list);
     }
 
--- a/planner/tests/sockets.rs
+++ b/planner/tests/sockets.rs
@@ -61,6 +61,7 @@
         weighs: false,
         meeting: None,
         links: Links::default(),
+        part: None,
     };
     tokio::task::spawn_local(serve(listener, start, std::future::pending()));
     (address, world)
--- a/standins/src/register.rs
+++ b/standins/src/register.rs
@@ -4,6 +4,7 @@
 use basaltpitch_agent::link::{self, News, Order};
 use basaltpitch_agent::session::{Event, Party};
 use basaltpitch_agent::wire::{self, Body, Entry, Readiness, Role};
+use rand::{rngs::StdRng, seq::SliceRandom, SeedableRng};
 use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -29,6 +30,7 @@
 struct Watcher {
     orders: mpsc::Sender<Order>,
     watches: bool,
+    brief: bool,
     /// What it was sent, by machine.
     knows: Entries,
 }
@@ -96,7 +98,7 @@
         let _ = stream.set_nodelay(true);
         let (outer, inner) = tokio::io::duplex(256 * 1024);
         let (orders, inbox) = mpsc::channel(1024);
-        self.watchers.insert(conn, Watcher { orders, watches: false, knows: Entries::new() });
+        self.watchers.insert(conn, Watcher { orders, watches: false, brief: false, knows: Entries::new() });
         let (world, clock) = (self.world.clone(), self.world.clock);
         let show = move |hello: &wire::Hello, seen: Seen| {
             if let Seen::Sent { body: Body::List(list) } = seen {
@@ -119,10 +121,11 @@
         match news {
             News::Session(Event::Frame(Body::Watch(watch))) => {
                 if let Some(w) = self.watchers.get_mut(&conn) {
-                    w.watches = watch.on;
+                    (w.watches, w.brief) = (watch.on, watch.brief);
                 }
                 self.send(conn, true);
             }
+            News::Session(Event::Frame(Body::Fetch(fetch))) if fetch.question > 0 => self.offer(conn, &fetch),
             News::Session(Event::Frame(Body::Fetch(_))) => self.send(conn, true),
             News::Session(Event::Frame(Body::Drain(drain))) => {
                 if let Some(machine) = self.fleet.iter().find(|m| m.name == drain.machine).cloned() {
@@ -190,6 +193,28 @@
         watching.into_iter().for_each(|conn| self.send(conn, false));
     }
 
+    /// Some ready machines with room, drawn anew for each question, so that askers don't crowd one machine.
+    fn offer(&mut self, conn: u64, fetch: &wire::Fetch) {
+        let Some(shown) = self.shown() else { return };
+        let fits = |e: &&Entry| {
+            let named = |wanted: &str, is: &str| wanted.is_empty() || wanted == is;
+            e.readiness() == Readiness::Ready
+                && e.cores_left >= fetch.cores
+                && e.memory_left >= fetch.memory
+                && named(&fetch.kind, &e.kind)
+                && named(&fetch.zone, &e.zone)
+                && (fetch.among.is_empty() || fetch.among.contains(&e.machine))
+        };
+        let mut all: Vec<&Entry> = shown.values().filter(fits).collect();
+        all.shuffle(&mut StdRng::seed_from_u64(conn << 32 ^ fetch.question));
+        let entries = all.into_iter().take(fetch.most as usize).cloned().collect();
+        self.stamp += 1;
+        let list = wire::List { whole: false, stamp: self.stamp, entries, question: fetch.question };
+        if let Some(w) = self.watchers.get(&conn) {
+            let _ = w.orders.try_send(Order::Send(Body::List(list), None));
+        }
+    }
+
     fn shown(&self) -> Option<&Entries> {
         let until = self.world.clock.now() - self.late.notice_us - self.me.stale_us.get();
         self.past.iter().rev().find(|p| p.0 <= until).or(self.past.front()).map(|p| &p.1)
@@ -200,10 +225,17 @@
         self.stamp += 1;
         let stamp = self.stamp;
         let Some(w) = self.watchers.get_mut(&conn) else { return };
-        let news = shown.iter().filter(|(name, e)| whole || w.knows.get(*name) != Some(e));
+        let brief = w.brief;
+        let same = |a: &Entry, b: &Entry| {
+            let leaves_out = brief && a.readiness() == Readiness::Ready && b.readiness() == Readiness::Ready;
+            let room = if leaves_out { (b.cores_left, b.memory_left) } else { (a.cores_left, a.memory_left) };
+            Entry { cores_left: room.0, memory_left: room.1, ..a.clone() } == *b
+        };
+        let knows = |name: &String, e: &Entry| w.knows.get(name).is_some_and(|known| same(known, e));
+        let news = shown.iter().filter(|(name, e)| whole || !knows(name, e));
         let entries: Vec<Entry> = news.map(|(_, e)| e.clone()).collect();
         if whole || !entries.is_empty() {
-            let list = wire::List { whole, stamp, entries };
+            let list = wire::List { whole, stamp, entries, question: 0 };
             if w.orders.try_send(Order::Send(Body::List(list), None)).is_ok() {
                 w.knows = shown;
             }
