--- a/standins/src/rig.rs
+++ b/standins/src/rig.rs
@@ -114,7 +114,10 @@
     let voters = ways.iter().enumerate().map(|(n, a)| format!("{{name: \"voter-{n}\", address: {a:?}}}"));
     let (term, drift, voters) = (time("term"), time("drift"), voters.collect::<Vec<_>>().join(", "));
     let file = folder.join(format!("{name}.rec"));
-    std::fs::write(&file, format!("council: {{term: {term}us, drift: {drift}us, voters: [{voters}]}}\n"))?;
+    let parts =
+        seats.number("copies").map_or(String::new(), |copies| format!("parts: {{copies: {copies}}}\n"));
+    let council = format!("council: {{term: {term}us, drift: {drift}us, voters: [{voters}]}}\n{parts}");
+    std::fs::write(&file, council)?;
     Ok(file)
 }
 
