--- a/planner/src/core/parts.rs
+++ b/planner/src/core/parts.rs
@@ -11,6 +11,8 @@
 const VISIT: i64 = 1_000_000;
 /// What was taken on so long ago is linked, if it answers at all.
 const LINKED: i64 = 5_000_000;
+/// Clocks of two hosts may differ by so much.
+const CLOCKS: i64 = 5_000_000;
 /// Names that one question to the register holds at the most.
 const MOST_NAMES: usize = 32;
 
@@ -103,7 +105,7 @@
         let (kind, zone, _) = standing.place;
         parts.part.listed(m, hash(self.machines.door.id(m)), zone, kind);
         standing.outside = !parts.part.offers(m);
-        if standing.started >= parts.born_at {
+        if standing.started >= parts.born_at + CLOCKS {
             // Nothing that an earlier life of the seat launched runs there.
             parts.part.visited(m);
         }
