--- a/cli/tests/parts.rs
+++ b/cli/tests/parts.rs
@@ -55,7 +55,8 @@
                 let world = world(&site, Rc::default());
                 let mut fleet = Vec::new();
                 for hall in HALLS {
-                    for (kind, count, size) in [("std", STD, (16.0, 32.0)), ("large", LARGE, (256.0, 512.0))] {
+                    for (kind, count, size) in [("std", STD, (16.0, 32.0)), ("large", LARGE, (256.0, 512.0))]
+                    {
                         for n in 0..count {
                             let (name, place) = (format!("{hall}-{kind}-{n}"), (hall.to_owned(), n as u32));
                             let seed = fleet.len() as u64;
--- a/planner/src/core.rs
+++ b/planner/src/core.rs
@@ -159,6 +159,8 @@
     frameworks: Vec<(String, Kind)>,
     zones: Vec<String>,
     kinds: Vec<String>,
+    /// Cores and memory of each kind of machine.
+    sizes: Vec<(f64, f64)>,
     /// By framework: the kind of machine that its tasks are bound to.
     kind_of: Vec<Option<usize>>,
 }
@@ -173,11 +175,14 @@
         };
         let frameworks = list(&|i| format!("classes.{i}.name"));
         let bound = |i| number(given, &format!("familyInfo.classKind.{i}")).filter(|k| *k >= 0.0);
+        let kinds = list(&|i| format!("machineTypes.{i}"));
+        let of_kind = |name: &str, i: usize| number(given, &format!("familyInfo.{name}.{i}")).unwrap_or(0.0);
         Names {
+            sizes: (0..kinds.len()).map(|i| (of_kind("cpuOfKind", i), of_kind("sizeMemory", i))).collect(),
             kind_of: (0..frameworks.len()).map(|i| bound(i).map(|k| k as usize)).collect(),
             frameworks: frameworks.into_iter().enumerate().map(|(i, name)| (name, kind(i))).collect(),
             zones: list(&|i| format!("localities.{i}")),
-            kinds: list(&|i| format!("machineTypes.{i}")),
+            kinds,
         }
     }
 }
--- a/planner/src/core/parts.rs
+++ b/planner/src/core/parts.rs
@@ -202,13 +202,12 @@
     fn waits(&mut self, task: usize, need: Need, limit_at: i64) {
         let now = self.now();
         let could = |m: usize| {
-            let machine = self.known.get(m).and_then(Option::as_ref);
-            let of_kind = machine.is_some_and(|x| need.kind.is_none_or(|k| k == x.standing.place.0));
-            let belief = self.placing.belief(m);
-            of_kind
-                && belief.cores >= need.cores
-                && belief.memory >= need.memory
-                && self.clauses_allow(task, m)
+            let Some(kind) = self.known.get(m).and_then(Option::as_ref).map(|x| x.standing.place.0) else {
+                return false;
+            };
+            let (cores, memory) = self.names.sizes[kind];
+            let of_kind = need.kind.is_none_or(|k| k == kind);
+            of_kind && cores >= need.cores && memory >= need.memory && self.clauses_allow(task, m)
         };
         let could = self.part.as_ref().is_some_and(|x| x.part.offered().any(could));
         if let Some(parts) = &mut self.part {
@@ -251,7 +250,7 @@
     // What others are told.
 
     /// How many times the part the fleet is, by the machines that the list has.
-    pub(super) fn fleet_over_part(&self) -> f64 {
+    pub(crate) fn fleet_over_part(&self) -> f64 {
         let Some(parts) = &self.part else { return 1.0 };
         let all = parts.part.listed_count() as f64;
         all / (parts.part.offered().count().max(1) as f64)
--- a/planner/src/peers.rs
+++ b/planner/src/peers.rs
@@ -151,14 +151,16 @@
     fn of_halls(&self, core: &Core) -> Vec<OfHall> {
         let mut all: Vec<OfHall> =
             self.counted.iter().map(|c| [0.0, 0.0, 0.0, 0.0, 0.0, c.1[0], c.1[1]]).collect();
+        // Cores are those of the fleet, of which a part is a sample.
+        let fleet = core.fleet_over_part();
         for (_, standing, belief) in core.machines_worked() {
             let Some(of) = all.get_mut(standing.place.1) else { continue };
             of[0] += 1.0;
             of[4] += f64::from(standing.answers());
             if standing.readiness() == Readiness::Ready {
                 of[1] += 1.0;
-                of[2] += belief.cores;
-                of[3] += belief.ucac;
+                of[2] += fleet * belief.cores;
+                of[3] += fleet * belief.ucac;
             }
         }
         all
