--- a/standins/src/hollow/machines.rs
+++ b/standins/src/hollow/machines.rs
@@ -295,7 +295,7 @@
             In::Accepted(m, stream) => self.accept(m, stream),
             In::Conn(m, conn, news) => self.hear_conn(m, conn, news),
             In::Registered(orders) => {
-                let list = wire::List { whole: true, stamp: 1, entries: self.entries() };
+                let list = wire::List { whole: true, stamp: 1, entries: self.entries(), question: 0 };
                 let _ = orders.try_send(Order::Send(Body::List(list), None));
                 self.register = Some(orders);
             }
@@ -608,7 +608,7 @@
     fn tell(&mut self) {
         let Some(register) = self.register.clone().filter(|_| !self.changed.is_empty()) else { return };
         let entries = self.changed.iter().map(|&m| self.entry(m)).collect();
-        let list = wire::List { whole: false, stamp: 1, entries };
+        let list = wire::List { whole: false, stamp: 1, entries, question: 0 };
         if register.try_send(Order::Send(Body::List(list), None)).is_ok() {
             self.changed.clear();
         }
--- a/standins/src/hollow/register.rs
+++ b/standins/src/hollow/register.rs
@@ -2,6 +2,7 @@
 //! entries, and it tells each watcher what changed since it was told last. Entries are numbered as they
 //! change, so that a watcher costs a number here, not a copy of the list.
 use super::traffic::{Counted, Traffic};
+use crate::register::{differ_in_room, with_room};
 use basaltpitch_agent::link::{self, Clock, News, Order};
 use basaltpitch_agent::session::{Event, Party};
 use basaltpitch_agent::wire::{self, Body, Entry, Readiness, Role};
@@ -33,6 +34,7 @@
     orders: mpsc::Sender<Order>,
     party: Option<Party>,
     watches: bool,
+    brief: bool,
     /// The number of the newest change that it was told.
     told: u64,
     traffic: Rc<RefCell<Traffic>>,
@@ -41,6 +43,8 @@
 struct Row {
     entry: Entry,
     changed: u64,
+    /// The last change that was not of a ready machine's room alone.
+    other: u64,
     /// Who tells of it.
     by: u64,
 }
@@ -92,7 +96,7 @@
         let (orders, inbox) = mpsc::channel(1024);
         let traffic = Rc::new(RefCell::new(Traffic::default()));
         let stream = Counted::new(stream, Rc::new(Cell::new(false)), traffic.clone());
-        self.conns.insert(conn, Conn { orders, party: None, watches: false, told: 0, traffic });
+        self.conns.insert(conn, Conn { orders, party: None, watches: false, brief: false, told: 0, traffic });
         let (name, login) = ("register".into(), String::new());
         let me = Party { role: Role::Register, name, epoch: 1, link: conn, login };
         tokio::task::spawn_local(link::run(stream, me, clock, inbox, news, move |n| (conn, n)));
@@ -103,7 +107,10 @@
             return;
         }
         self.changes += 1;
-        self.rows.insert(entry.machine.clone(), Row { entry, changed: self.changes, by });
+        let changed = self.changes;
+        let before = self.rows.get(&entry.machine).filter(|r| differ_in_room(&r.entry, &entry));
+        let other = before.map_or(changed, |r| r.other);
+        self.rows.insert(entry.machine.clone(), Row { entry, changed, other, by });
     }
 
     fn hear(&mut self, conn: u64, news: News) {
@@ -121,10 +128,18 @@
             }
             News::Session(Event::Frame(Body::Watch(watch))) => {
                 if let Some(c) = self.conns.get_mut(&conn) {
-                    c.watches = watch.on;
+                    (c.watches, c.brief) = (watch.on, watch.brief);
                 }
                 self.send(conn, true);
             }
+            News::Session(Event::Frame(Body::Fetch(fetch))) if fetch.question > 0 => {
+                let entries = with_room(self.rows.values().map(|r| &r.entry), conn, &fetch);
+                self.stamp += 1;
+                let list = wire::List { whole: false, stamp: self.stamp, entries, question: fetch.question };
+                if let Some(c) = self.conns.get(&conn) {
+                    let _ = c.orders.try_send(Order::Send(Body::List(list), None));
+                }
+            }
             News::Session(Event::Frame(Body::Fetch(_))) => self.send(conn, true),
             News::Session(Event::Frame(Body::Drain(drain))) => {
                 // A conductor's word under an older token is refused.
@@ -166,10 +181,14 @@
         if !whole && c.told == self.changes {
             return;
         }
-        let news = self.rows.values().filter(|r| whole || r.changed > c.told);
-        let entries: Vec<Entry> = news.map(|r| r.entry.clone()).collect();
+        let news = |r: &&Row| whole || if c.brief { r.other > c.told } else { r.changed > c.told };
+        let entries: Vec<Entry> = self.rows.values().filter(news).map(|r| r.entry.clone()).collect();
+        if !whole && entries.is_empty() {
+            c.told = self.changes;
+            return;
+        }
         self.stamp += 1;
-        let list = wire::List { whole, stamp: self.stamp, entries };
+        let list = wire::List { whole, stamp: self.stamp, entries, question: 0 };
         if c.orders.try_send(Order::Send(Body::List(list), None)).is_ok() {
             c.told = self.changes;
         }
--- a/standins/src/register.rs
+++ b/standins/src/register.rs
@@ -27,6 +27,28 @@
 
 type Entries = BTreeMap<String, Entry>;
 
+/// Two entries of a ready machine that differ in its room alone: a brief watch leaves such changes out.
+pub fn differ_in_room(a: &Entry, b: &Entry) -> bool {
+    let alike = Entry { cores_left: b.cores_left, memory_left: b.memory_left, ..a.clone() };
+    alike == *b && b.readiness() == Readiness::Ready
+}
+
+/// What answers a question: ready machines with room, drawn anew for each, so that askers don't crowd one.
+pub fn with_room<'a>(all: impl Iterator<Item = &'a Entry>, conn: u64, fetch: &wire::Fetch) -> Vec<Entry> {
+    let named = |wanted: &str, is: &str| wanted.is_empty() || wanted == is;
+    let fits = |e: &&Entry| {
+        e.readiness() == Readiness::Ready
+            && e.cores_left >= fetch.cores
+            && e.memory_left >= fetch.memory
+            && named(&fetch.kind, &e.kind)
+            && named(&fetch.zone, &e.zone)
+            && (fetch.among.is_empty() || fetch.among.contains(&e.machine))
+    };
+    let mut all: Vec<&Entry> = all.filter(fits).collect();
+    all.shuffle(&mut StdRng::seed_from_u64(conn << 32 ^ fetch.question));
+    all.into_iter().take(fetch.most as usize).cloned().collect()
+}
+
 struct Watcher {
     orders: mpsc::Sender<Order>,
     watches: bool,
@@ -193,21 +215,9 @@
         watching.into_iter().for_each(|conn| self.send(conn, false));
     }
 
-    /// Some ready machines with room, drawn anew for each question, so that askers don't crowd one machine.
     fn offer(&mut self, conn: u64, fetch: &wire::Fetch) {
         let Some(shown) = self.shown() else { return };
-        let fits = |e: &&Entry| {
-            let named = |wanted: &str, is: &str| wanted.is_empty() || wanted == is;
-            e.readiness() == Readiness::Ready
-                && e.cores_left >= fetch.cores
-                && e.memory_left >= fetch.memory
-                && named(&fetch.kind, &e.kind)
-                && named(&fetch.zone, &e.zone)
-                && (fetch.among.is_empty() || fetch.among.contains(&e.machine))
-        };
-        let mut all: Vec<&Entry> = shown.values().filter(fits).collect();
-        all.shuffle(&mut StdRng::seed_from_u64(conn << 32 ^ fetch.question));
-        let entries = all.into_iter().take(fetch.most as usize).cloned().collect();
+        let entries = with_room(shown.values(), conn, fetch);
         self.stamp += 1;
         let list = wire::List { whole: false, stamp: self.stamp, entries, question: fetch.question };
         if let Some(w) = self.watchers.get(&conn) {
@@ -226,11 +236,7 @@
         let stamp = self.stamp;
         let Some(w) = self.watchers.get_mut(&conn) else { return };
         let brief = w.brief;
-        let same = |a: &Entry, b: &Entry| {
-            let leaves_out = brief && a.readiness() == Readiness::Ready && b.readiness() == Readiness::Ready;
-            let room = if leaves_out { (b.cores_left, b.memory_left) } else { (a.cores_left, a.memory_left) };
-            Entry { cores_left: room.0, memory_left: room.1, ..a.clone() } == *b
-        };
+        let same = |known: &Entry, e: &Entry| known == e || brief && differ_in_room(known, e);
         let knows = |name: &String, e: &Entry| w.knows.get(name).is_some_and(|known| same(known, e));
         let news = shown.iter().filter(|(name, e)| whole || !knows(name, e));
         let entries: Vec<Entry> = news.map(|(_, e)| e.clone()).collect();
