Council: a renewal's votes come without the note that stands there

A holder renews each third of what it may act for, and each voter sent the note back each time: a seat's address, or a conductor's record of up to 64 KiB. Only who wins a duty looks at it.

Member::Ask says whether it renews, the ballot says so (`renews`), and a voter then leaves the note out. A round that began without holding never renews, so who wins still gets the note of each vote. An older build says nothing and gets the note as before.

--- a/council/src/member.rs
+++ b/council/src/member.rs
@@ -10,8 +10,8 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Call<D> {
-    /// Ask all voters.
-    Ask { duty: D, token: u64, round: u64, note: Option<Note> },
+    /// Ask all voters; who renews what it holds needs no note that stood there.
+    Ask { duty: D, token: u64, round: u64, note: Option<Note>, renews: bool },
     /// Tell all voters that their votes are free.
     GiveBack { duty: D, token: u64 },
     /// It is held from now on. The note is the last that a holder is sure to have recorded, or one that was
@@ -182,8 +182,8 @@
         d.free_at.clear();
         d.next_at = now + if d.holds { (self.terms.holds() / RENEWS).max(1) } else { 0 };
         d.sent_note = d.note.as_ref().map_or(0, |n| n.number);
-        let (token, round, note) = (d.token, d.round, d.note.clone());
-        self.calls.push_back(Call::Ask { duty: duty.clone(), token, round, note });
+        let (duty, token, round) = (duty.clone(), d.token, d.round);
+        self.calls.push_back(Call::Ask { duty, token, round, note: d.note.clone(), renews: d.holds });
     }
 
     /// A voter's answer to the asking of a round; answers to earlier rounds say nothing of this one's term.
--- a/council/tests/drawn.rs
+++ b/council/tests/drawn.rs
@@ -11,7 +11,7 @@
 
 #[derive(Clone)]
 enum Frame {
-    Ask { duty: u8, token: u64, round: u64, note: Option<Note> },
+    Ask { duty: u8, token: u64, round: u64, note: Option<Note>, renews: bool },
     Back { duty: u8, token: u64 },
     Answer { duty: u8, round: u64, answer: Answer },
     Freed { duty: u8 },
@@ -121,8 +121,8 @@
     fn called(&mut self, m: usize) {
         while let Some(call) = self.members[m].next_call() {
             match call {
-                Call::Ask { duty, token, round, note } => {
-                    self.ask_voters(m, Frame::Ask { duty, token, round, note })
+                Call::Ask { duty, token, round, note, renews } => {
+                    self.ask_voters(m, Frame::Ask { duty, token, round, note, renews })
                 }
                 Call::GiveBack { duty, token } => self.ask_voters(m, Frame::Back { duty, token }),
                 Call::Won { duty, token, note } => {
@@ -150,8 +150,11 @@
     fn arrives(&mut self, from: At, to: At, frame: Frame) {
         let now = self.clock(to);
         match (to, from, frame) {
-            (At::Voter(v), At::Member(m), Frame::Ask { duty, token, round, note }) => {
-                let answer = self.voters[v].asked(now, &duty, &m, token, note);
+            (At::Voter(v), At::Member(m), Frame::Ask { duty, token, round, note, renews }) => {
+                let answer = match self.voters[v].asked(now, &duty, &m, token, note) {
+                    Answer::Granted { .. } if renews => Answer::Granted { note: Note::default() },
+                    answer => answer,
+                };
                 self.send(to, from, Frame::Answer { duty, round, answer });
             }
             (At::Voter(v), At::Member(m), Frame::Back { duty, token }) => {
--- a/council/tests/holder.rs
+++ b/council/tests/holder.rs
@@ -18,7 +18,7 @@
             self.now += 10;
             self.member.clock(self.now);
             while let Some(call) = self.member.next_call() {
-                if let Call::Ask { duty, token, round, note } = call {
+                if let Call::Ask { duty, token, round, note, .. } = call {
                     for (v, voter) in self.voters.iter_mut().enumerate() {
                         let Some(voter) = voter else { continue };
                         let answer = voter.asked(self.now, &duty, &1, token, note.clone());
--- a/planner/src/council.rs
+++ b/planner/src/council.rs
@@ -442,9 +442,11 @@
         let mut ballots = Vec::new();
         while let Some(call) = self.member.next_call() {
             match call {
-                Call::Ask { duty, token, round, note } => {
+                Call::Ask { duty, token, round, note, renews } => {
                     let (note_number, note) = note.map_or((0, Vec::new()), |n| (n.number, n.text));
-                    ballots.push(wire::Ballot { duty: duty.to_string(), token, round, note_number, note });
+                    let ballot =
+                        wire::Ballot { duty: duty.to_string(), token, round, note_number, note, renews };
+                    ballots.push(ballot);
                     // A voter that cannot be asked is not waited for: votes of the others are given back
                     // sooner.
                     for v in (0..self.voters.len()).filter(|&v| self.voters[v].is_none()) {
--- a/planner/src/voter.rs
+++ b/planner/src/voter.rs
@@ -295,6 +295,7 @@
                     let duty: Rc<str> = b.duty.as_str().into();
                     let mut vote = wire::Vote { duty: b.duty, round: b.round, ..wire::Vote::default() };
                     match self.voter.asked(now, &duty, &member, token, note) {
+                        Answer::Granted { .. } if b.renews => vote.granted = true,
                         Answer::Granted { note } => {
                             (vote.granted, vote.note) = (true, note.text);
                             (vote.note_token, vote.note_number) = (note.token, note.number);
--- a/planner/tests/record.rs
+++ b/planner/tests/record.rs
@@ -56,6 +56,7 @@
                 round: 1,
                 note_number: note.unwrap_or(0),
                 note: note.map_or(Vec::new(), |n| n.to_string().into_bytes()),
+                renews: false,
             };
             match self.ask(Body::Ballots(wire::Ballots { ballots: vec![ballot] })).await {
                 Body::Votes(votes) if votes.votes[0].granted => return,
@@ -108,6 +109,15 @@
             let kept = talk.record(of(life, revision)).await;
             assert_eq!((names(&kept), kept.since), (vec!["planner-0", "planner-1"], 0));
         }
+        // The note that stands there comes with a vote, unless its holder renews it.
+        for (renews, note) in [(false, &b"1"[..]), (true, b"")] {
+            let ballot = wire::Ballot { duty: "planner-1".into(), token: 1, renews, ..Default::default() };
+            let votes = talk.ask(Body::Ballots(wire::Ballots { ballots: vec![ballot] })).await;
+            assert!(
+                matches!(&votes, Body::Votes(v) if v.votes[0].granted && v.votes[0].note == note),
+                "{votes:?}"
+            );
+        }
         // With the time that each is taken, which changes all the time, it tells all each time.
         let record =
             wire::Record { brief: true, life: all.life, revision: one.revision, ..Default::default() };
