Hollow register: a test of what watchers are told, of questions, and of drains

The register of many had none of its own: whole and brief watches, questions for room, drains under an older token, and machines whose process is gone.

--- a/standins/tests/hollow.rs
+++ b/standins/tests/hollow.rs
@@ -1,12 +1,17 @@
-//! Hollow stand-ins: counting of frames by kind, and a line through points.
-use basaltpitch_agent::wire::{self, Body, Frame};
+//! Hollow stand-ins: counting of frames by kind, a line through points, and a register.
+use basaltpitch_agent::link::{self, Clock, News, Order};
+use basaltpitch_agent::session::{Event, Party};
+use basaltpitch_agent::wire::{self, Body, Entry, Frame, Readiness, Role};
 use basaltpitch_standins::hollow::fit::line;
+use basaltpitch_standins::hollow::register;
 use basaltpitch_standins::hollow::traffic::{relay, Traffic, Way, KINDS};
 use prost::Message;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 
 fn bytes_of(body: Body) -> Vec<u8> {
     let frame = Frame::from(body).encode_to_vec();
@@ -114,3 +119,107 @@
         }
     }
 }
+
+/// Who talks to the register: a watcher, or a process that tells of its machines.
+struct Side {
+    orders: mpsc::Sender<Order>,
+    news: mpsc::Receiver<News>,
+}
+
+impl Side {
+    async fn start(address: &str, role: Role, name: &str) -> Side {
+        let me = Party { role, name: name.into(), epoch: 1, link: 1, login: String::new() };
+        let stream = TcpStream::connect(address).await.unwrap();
+        let ((orders, inbox), (out, news)) = (mpsc::channel(16), mpsc::channel(64));
+        tokio::task::spawn_local(link::run(stream, me, Clock::start(), inbox, out, |n| n));
+        Side { orders, news }
+    }
+
+    async fn say(&self, body: Body) {
+        self.orders.send(Order::Send(body, None)).await.unwrap();
+    }
+
+    async fn tell(&self, entries: &[&Entry]) {
+        let entries = entries.iter().map(|e| (*e).clone()).collect();
+        self.say(Body::List(wire::List { entries, ..wire::List::default() })).await;
+    }
+
+    async fn frame(&mut self) -> Body {
+        loop {
+            let next = tokio::time::timeout(Duration::from_secs(20), self.news.recv()).await;
+            if let Some(News::Session(Event::Frame(body))) = next.expect("a frame in time") {
+                return body;
+            }
+        }
+    }
+
+    /// Machines of the next list, in order.
+    async fn names(&mut self) -> Vec<String> {
+        let Body::List(list) = self.frame().await else { panic!("another frame than a list") };
+        let mut names: Vec<String> = list.entries.into_iter().map(|e| e.machine).collect();
+        names.sort_unstable();
+        names
+    }
+}
+
+/// A watcher is told of each change once, a brief one not of room alone; questions name machines with room; a
+/// drain goes to who tells of the machine, and an older token's does not; machines are gone with who tells of
+/// them.
+#[test]
+fn a_register_of_many_tells_each_watcher_what_changed() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap().to_string();
+        let (_words, inbox) = mpsc::channel(1);
+        tokio::task::spawn_local(register::run(listener, Vec::new(), inbox, |_| {}));
+        let entry = |n: usize| Entry {
+            machine: format!("machine-{n}"),
+            cores_left: 16.0,
+            memory_left: 64.0,
+            ..Entry::default()
+        };
+        let (mut a, mut b, c) = (entry(0), entry(1), entry(2));
+        let mut source = Side::start(&at, Role::Machine, "machines").await;
+        source.tell(&[&a, &b, &c]).await;
+        let mut usual = Side::start(&at, Role::Planner, "usual").await;
+        let mut brief = Side::start(&at, Role::Planner, "brief").await;
+        // The whole list comes at once, and what it lacks yet comes next.
+        for (watcher, is_brief) in [(&mut usual, false), (&mut brief, true)] {
+            watcher.say(Body::Watch(wire::Watch { on: true, brief: is_brief })).await;
+            let mut names = watcher.names().await;
+            while names.len() < 3 {
+                names.extend(watcher.names().await);
+            }
+            assert_eq!(names, ["machine-0", "machine-1", "machine-2"]);
+        }
+        a.cores_left = 2.0;
+        source.tell(&[&a, &b]).await;
+        assert_eq!(usual.names().await, ["machine-0"], "what did not change is not told");
+        b.readiness = Readiness::Draining as i32;
+        source.tell(&[&b]).await;
+        assert_eq!(brief.names().await, ["machine-1"], "the drain comes first");
+        assert_eq!(usual.names().await, ["machine-1"]);
+        b.cores_left = 15.0;
+        source.tell(&[&b]).await;
+        assert_eq!(brief.names().await, ["machine-1"], "room of one that drains is told");
+        assert_eq!(usual.names().await, ["machine-1"]);
+        let fetch = wire::Fetch { question: 7, cores: 8.0, memory: 8.0, most: 5, ..wire::Fetch::default() };
+        brief.say(Body::Fetch(fetch)).await;
+        assert_eq!(brief.names().await, ["machine-2"], "the others drain or have no room");
+        for (token, machine) in [(5, "machine-2"), (4, "machine-0"), (5, "machine-1")] {
+            let drain = wire::Drain { machine: machine.into(), on: true, token, ..wire::Drain::default() };
+            usual.say(Body::Drain(drain)).await;
+        }
+        for expected in ["machine-2", "machine-1"] {
+            let Body::Drain(drain) = source.frame().await else { panic!("another frame than a drain") };
+            assert_eq!(drain.machine, expected);
+        }
+        source.orders.send(Order::Close("over".into())).await.unwrap();
+        assert_eq!(
+            brief.names().await,
+            ["machine-0", "machine-1", "machine-2"],
+            "gone with who told of them"
+        );
+    });
+}
