--- a/planner/tests/summaries.rs
+++ b/planner/tests/summaries.rs
@@ -143,3 +143,16 @@
     }
     assert!(layout(99).size() + 2 <= basaltpitch_exchange::MOST_FIGURES && told(99) > 16);
 }
+
+/// A planner of an earlier build told whole texts in frames of other numbers: they are of no kind that is known
+/// here, which ends the link with one error, and are never misread.
+#[test]
+fn frames_of_earlier_builds_are_of_no_kind() {
+    for kind in [70u32, 71] {
+        // Its first field was the question's number, as it is now.
+        let bytes =
+            [&[((kind << 3 | 2) & 0x7f | 0x80) as u8, ((kind << 3 | 2) >> 7) as u8][..], &[2, 8, 1]].concat();
+        let frame = Frame::decode(&bytes[..]).expect("a frame in form");
+        assert_eq!(frame.body, None, "kind {kind}");
+    }
+}
