--- a/cli/src/measure_scale/laid.rs
+++ b/cli/src/measure_scale/laid.rs
@@ -14,6 +14,8 @@
 
 /// How long a thing may take that is waited for.
 const PATIENCE: Duration = Duration::from_secs(120);
+/// How long planners that begin together may take to visit all machines.
+const VISITS: Duration = Duration::from_secs(300);
 
 /// The target for the time to start of the urgent framework, at 99.9 %.
 const URGENT_MS: u64 = 2400;
@@ -199,6 +201,7 @@
         };
         // The real ones have seats before hollow ones ask for any.
         laid.seats(m.real).await?;
+        laid.visited(0, real).await?;
         let each = m.planners_each();
         for from in (real..real + hollow).step_by(each) {
             let to = (from + each).min(real + hollow);
@@ -210,8 +213,10 @@
             let more = ["--register", &register, "--listen", &listen, "--advertise", &at, "--zone", &zone];
             let process = Process::that_listens(&[&args[..], &more].concat())?;
             laid.hollow.push(process);
+            // With parts each visits all machines when it begins: a few at a time.
+            laid.seats(m.real + to - real).await?;
+            laid.visited(from, to).await?;
         }
-        laid.seats(m.planners).await?;
         laid.seats_after_s = begun.elapsed().as_secs_f64();
         progress("all seats are taken; machines are linked");
         let until = Instant::now() + PATIENCE;
@@ -253,6 +258,28 @@
         Ok(())
     }
 
+    /// Waits until these planners have visited all machines, if they have parts.
+    async fn visited(&self, from: usize, to: usize) -> io::Result<()> {
+        let until = Instant::now() + VISITS;
+        for s in self.seated.iter().filter(|s| (from..to).contains(&s.place)) {
+            let args = ["planner", "--planner", &self.listens[s.place], "-o", "json"];
+            loop {
+                let out = tokio::process::Command::new(std::env::current_exe()?).args(args).output().await?;
+                let told: Value = serde_json::from_slice(&out.stdout).unwrap_or_default();
+                let left = told["part"]["to_visit"].as_u64();
+                // It has a list by the time that it has a part.
+                if told.is_object() && left.is_none_or(|n| n == 0 && told["part"]["listed"] != 0) {
+                    break;
+                }
+                if Instant::now() > until {
+                    return Err(io::Error::other(format!("{} has machines to visit: {left:?}", s.seat)));
+                }
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        Ok(())
+    }
+
     fn sits(&mut self, line: &Value) {
         let text = |field: &str| line[field].as_str().unwrap_or("").to_owned();
         let (seat, listening) = (text("name"), text("listening"));
