--- a/cli/src/measure_scale/laid.rs
+++ b/cli/src/measure_scale/laid.rs
@@ -262,7 +262,7 @@
     async fn visited(&self, from: usize, to: usize) -> io::Result<()> {
         let until = Instant::now() + VISITS;
         for s in self.seated.iter().filter(|s| (from..to).contains(&s.place)) {
-            let args = ["planner", "--planner", &self.listens[s.place], "-o", "json"];
+            let args = ["planner", "--planner", &self.advertise[s.place], "-o", "json"];
             loop {
                 let out = tokio::process::Command::new(std::env::current_exe()?).args(args).output().await?;
                 let told: Value = serde_json::from_slice(&out.stdout).unwrap_or_default();
