Machines are not tested again and again while answers to tests tell no report

What reports there were came with the ends of tasks. So a report stayed old however often it was asked for, and every machine came due again each 4 s. Excluded: cold starts, connection trouble and errors (248 tests failed), which are small beside it.

At fault: `probe_round`, which tests whatever has an old report without looking whether tests bring any.

The mend: until a test has told a report, one machine is looked at in the time for which a report would be good (10 s), and beyond it only machines that hold own tasks and have said nothing for a round, as their loss is noticed by that.

The new tests fail without the mend (two of three; the third holds that reports still lead to rounds).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -135,6 +135,8 @@
     cold_until: Vec<i64>,
     shun_until: Vec<i64>,
     probed_at: Vec<i64>,
+    /// When the machine last said anything: an answer, a note, an end.
+    heard_at: Vec<i64>,
 }
 
 pub struct Planner<H: Host> {
@@ -146,6 +148,9 @@
     born_at: i64,
     /// Probes without an answer.
     asked: usize,
+    /// Whether probes tell a report, and until when it is not looked at again that they don't.
+    probes_tell: bool,
+    blind_until: i64,
     stamp: u64,
     tasks: Vec<Task>,
     waiting: Vec<usize>,
@@ -198,6 +203,8 @@
             now,
             born_at: now,
             asked: 0,
+            probes_tell: false,
+            blind_until: 0,
             stamp: 0,
             tasks: Vec::new(),
             waiting: Vec::new(),
@@ -276,7 +283,7 @@
         for times in [&mut mac.started, &mut mac.report_at, &mut mac.view_at, &mut mac.cold_until] {
             times[m] = 0;
         }
-        (mac.shun_until[m], mac.probed_at[m]) = (0, 0);
+        (mac.shun_until[m], mac.probed_at[m], mac.heard_at[m]) = (0, 0, 0);
         (mac.used_cores[m], mac.used_memory[m]) = (0.0, 0.0);
     }
 
@@ -313,7 +320,8 @@
 
     /// Many planners can't keep up with a fleet, so they ask a service's homes when a task comes.
     fn asks_first(&mut self, s: usize) -> bool {
-        if self.rule("permissions.probes") == 0.0 || self.probe_every() < STALE {
+        let blind = self.now < self.blind_until;
+        if blind || self.rule("permissions.probes") == 0.0 || self.probe_every() < STALE {
             return false;
         }
         let mut homes: Vec<usize> = self.ready().filter(|&m| self.now >= self.mac.shun_until[m]).collect();
@@ -518,6 +526,7 @@
         }
         t.phase = Phase::Placed;
         let (m, sent_at) = (t.machine, t.sent_at);
+        self.mac.heard_at[m] = self.now;
         // Another machine takes what one answered with an error: that one is at fault.
         if let Some(m) = t.erred.filter(|&m| m != t.machine) {
             self.mac.shun_until[m] = self.mac.shun_until[m].max(self.now + BARRED);
@@ -549,6 +558,7 @@
     /// News of a task: 1 it runs, 2 cores and 3 memory in use, 4 how well it is served.
     pub fn noted(&mut self, task: usize, sort: i64, value: f64) {
         let t = &self.tasks[task];
+        self.mac.heard_at[t.machine] = self.now;
         match sort {
             1 if t.ran_at == 0 => self.tasks[task].ran_at = self.now,
             2 => {
@@ -587,6 +597,7 @@
         let t = &self.tasks[task];
         let (m, phase, sent_at) = (t.machine, t.phase, t.sent_at);
         self.mac.held[m].retain(|&o| o != task);
+        self.heard_end(m, end);
         self.read_report(m, report);
         // A machine that fails is barred, and so is one that leaves: it turns tasks off or sends them away,
         // which the list tells only later. Where a line is long or room is short, others fit soon.
@@ -711,8 +722,16 @@
         if every >= STALE || self.rule("permissions.probes") == 0.0 {
             return;
         }
-        let old = |m: usize| self.now - self.mac.report_at[m].max(self.mac.probed_at[m]) >= every;
-        let due: Vec<usize> = self.ready().filter(|&m| old(m)).collect();
+        let mac = &self.mac;
+        let since = |m: usize| {
+            self.now - mac.probed_at[m].max(if self.probes_tell { mac.report_at[m] } else { mac.heard_at[m] })
+        };
+        let mut due: Vec<usize> = self.ready().filter(|&m| since(m) >= every).collect();
+        if !self.probes_tell {
+            let look = due.get(self.rule("myNumber") as usize % due.len().max(1)).copied();
+            due.retain(|&m| !self.mac.held[m].is_empty());
+            due.extend(look.filter(|m| self.asked == 0 && self.now >= self.blind_until && !due.contains(m)));
+        }
         due.into_iter().for_each(|m| self.probe(m));
     }
 
@@ -729,8 +748,10 @@
 
     pub fn probed(&mut self, m: usize, outcome: Outcome, report: &[f64]) {
         self.know_machine(m);
+        self.heard_end(m, outcome);
         if outcome == Outcome::Ended {
             self.read_report(m, report);
+            self.probe_told(!report.is_empty());
         } else if outcome != Outcome::Full {
             self.mac.shun_until[m] = self.now + BARRED;
         }
@@ -740,6 +761,24 @@
         }
     }
 
+    /// A probe was passed: the first that tells a report shows that all are worth their price, and one that
+    /// tells none that they are not, for as long as a report would be good for.
+    fn probe_told(&mut self, report: bool) {
+        if report && !self.probes_tell {
+            (self.probes_tell, self.blind_until) = (true, 0);
+            self.probe_round();
+        } else if !self.probes_tell {
+            self.blind_until = self.now + STALE;
+        }
+    }
+
+    /// What only the machine itself can have said shows that it is there.
+    fn heard_end(&mut self, m: usize, end: Outcome) {
+        if matches!(end, Outcome::Ended | Outcome::Error | Outcome::Full) {
+            self.mac.heard_at[m] = self.now;
+        }
+    }
+
     fn read_report(&mut self, m: usize, report: &[f64]) {
         let asked = self.asked(m);
         self.mac.asked_then[m] = asked;
@@ -923,7 +962,7 @@
         mac.held.resize(n, Vec::new());
         mac.sends.resize(n, Vec::new());
         let a = [&mut mac.started, &mut mac.report_at, &mut mac.view_at];
-        let b = [&mut mac.cold_until, &mut mac.shun_until, &mut mac.probed_at];
+        let b = [&mut mac.cold_until, &mut mac.shun_until, &mut mac.probed_at, &mut mac.heard_at];
         a.into_iter().chain(b).for_each(|times| times.resize(n, 0));
         for figures in [&mut mac.cores, &mut mac.memory, &mut mac.used_cores, &mut mac.used_memory] {
             figures.resize(n, 0.0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,6 +1,7 @@
 //! Short traces of decisions, each kept beside the test and read by people.
 mod stage;
 use basaltpitch::host::{Outcome::*, Readiness::*};
+use basaltpitch::logic::Planner;
 use expect_test::expect;
 use stage::*;
 
@@ -467,3 +468,52 @@
     "#]]
     .assert_eq(&p.host.text);
 }
+
+/// Where the answers to probes hold no report, as on the platform, every planner had probed every machine
+/// every few seconds all the same, two probes a task, and learnt nothing: now one machine is looked at in
+/// the time for which a report would be good.
+#[test]
+fn probes_that_tell_nothing_are_not_repeated() {
+    let mut p = probing();
+    let looks = answered(&mut p, 45_000_000, &[]);
+    let at: Vec<i64> = looks.iter().map(|look| look.0 / 1_000_000).collect();
+    assert_eq!(at, [10, 20, 30, 40], "found probes {looks:?}; expected one in 10 s");
+}
+
+/// The first probe that tells a report is followed at once by one of each other machine, and by rounds.
+#[test]
+fn probes_that_tell_a_report_go_to_all_machines() {
+    let mut p = probing();
+    let mut first = answered(&mut p, 10_100_000, &[14.0, 28.0]);
+    first.sort_by_key(|probe| probe.1);
+    let machines: Vec<usize> = first.iter().map(|probe| probe.1).collect();
+    assert_eq!(machines, (0..30).collect::<Vec<_>>(), "found probes {first:?}; expected one a machine");
+    let later = answered(&mut p, 18_500_000, &[14.0, 28.0]);
+    assert_eq!(later.len(), 60, "found probes {later:?}; expected two rounds in 8 s");
+}
+
+/// A machine that holds an own task and says nothing is probed even so, as that is how its loss is noticed;
+/// its notes spare the probe.
+#[test]
+fn a_silent_machine_that_holds_a_task_is_probed_without_reports() {
+    let mut p = probing();
+    answered(&mut p, 11_000_000, &[]);
+    p.found(0, 0, None, 0, (1.0, 2.0), 5);
+    p.found(1, 0, None, 0, (1.0, 2.0), 6);
+    let mut probes = Vec::new();
+    for second in 12..32 {
+        p.noted(1, 2, 0.4);
+        probes.extend(answered(&mut p, second * 1_000_000, &[]));
+    }
+    let of = |m: usize| probes.iter().filter(|probe| probe.1 == m).count();
+    assert_eq!((of(5), of(6)), (5, 0), "found probes {probes:?}; expected one in 4 s, of machine 5 alone");
+}
+
+/// The first of 16 planners, with 30 machines listed and nothing told yet.
+fn probing() -> Planner<Trace> {
+    let host = Trace { now: 10_000_000, ..Trace::default() };
+    let more = [("nInstances", "16"), ("permissions.probes", "1")];
+    let mut p = Planner::new(host, 7, 10_000_000, given(&more));
+    list(&mut p, true, &(0..30).map(|m| (m, Ready, 0)).collect::<Vec<_>>());
+    p
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -8,6 +8,8 @@
     pub text: String,
     /// Timers that the planner asked for: when they are due, and their token.
     pub timers: Vec<(i64, u64)>,
+    /// Machines that were probed and have not been answered for.
+    pub probes: Vec<usize>,
     pub now: i64,
 }
 
@@ -33,7 +35,9 @@
     fn move_task(&mut self, task: usize) {
         self.line(format!("move task {task}"));
     }
-    fn probe(&mut self, _machine: usize) {}
+    fn probe(&mut self, machine: usize) {
+        self.probes.push(machine);
+    }
     fn watch(&mut self, on: bool) {
         self.line(format!("watch {on}"));
     }
@@ -115,3 +119,18 @@
     }
     at_time(p, until);
 }
+
+/// Lets time pass and answers each probe 10 ms or less after it was sent; returns when each was sent, and to
+/// which machine.
+pub fn answered(p: &mut Planner<Trace>, until: i64, report: &[f64]) -> Vec<(i64, usize)> {
+    let mut all = Vec::new();
+    while p.host.now < until {
+        let now = (p.host.now + 10_000).min(until);
+        pass(p, now);
+        while let Some(m) = p.host.probes.pop() {
+            all.push((now, m));
+            p.probed(m, Outcome::Ended, report);
+        }
+    }
+    all
+}
