What was asked since a machine's report counts until the next report, not until an empty answer

Cause: `read_report` noted what the list shows as asked at each end and each answer, also at those without a report (a time-out, a connection that failed, every test on the platform). The load of a machine is its last report and what was asked since; with the mark moved and the report not, what came in between fell out of both, and a machine that had filled up looked as free as at its last report. Seen while counting why tests tell nothing.

The mark now moves with the report. The new test fails without the change (4 cores believed in use instead of 10.25).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -781,12 +781,12 @@
 
     fn read_report(&mut self, m: usize, report: &[f64]) {
         let asked = self.asked(m);
-        self.mac.asked_then[m] = asked;
         for (i, &value) in report.iter().enumerate() {
             match text(&self.given, &format!("stats.fields.{i}")) {
                 "x0" => {
                     let used = (self.mac.cores[m] - value).max(0.0);
-                    (self.mac.used_cores[m], self.mac.report_at[m]) = (used, self.now);
+                    (self.mac.used_cores[m], self.mac.report_at[m], self.mac.asked_then[m]) =
+                        (used, self.now, asked);
                     self.average.0.learn(used / self.mac.cores[m].max(1.0), 16.0);
                     if self.view && asked.0 > 0.1 * self.mac.cores[m] {
                         self.cores_use.learn(used / asked.0, 64.0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -509,6 +509,26 @@
     assert_eq!((of(5), of(6)), (5, 0), "found probes {probes:?}; expected one in 4 s, of machine 5 alone");
 }
 
+/// An end or an answer without a report had taken what the list shows as asked since the last report for
+/// contained in it, so that a machine that had filled up looked as free as it had been.
+#[test]
+fn what_was_asked_since_a_report_counts_until_the_next() {
+    let mut p = planner(&[("familyInfo.view", "1")], &[4.0]);
+    let left = |p: &mut Planner<Trace>, room| {
+        p.list_begins(false, true);
+        p.machine_listed(0, (0, 0, 0), Ready, 0, room);
+        p.list_ends();
+    };
+    left(&mut p, (16.0, 32.0));
+    p.probed(0, Ended, &[12.0, 28.0]);
+    left(&mut p, (6.0, 12.0));
+    let before = p.belief(0);
+    assert!(before.c > 6.0 && before.used_memory > 14.0, "10 cores were asked since: {before:?}");
+    p.probed(0, Ended, &[]);
+    let after = p.belief(0);
+    assert_eq!((after.c, after.used_memory), (before.c, before.used_memory), "nothing was reported");
+}
+
 /// The first of 16 planners, with 30 machines listed and nothing told yet.
 fn probing() -> Planner<Trace> {
     let host = Trace { now: 10_000_000, ..Trace::default() };
