Tests that tell no report are looked at again soon after the start; asks count as before

Two causes, one in each change.

Now it is looked at again whenever the planner is twice as old, and each 10 s at last; the asking of homes is as it was.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -320,8 +320,7 @@
 
     /// Many planners can't keep up with a fleet, so they ask a service's homes when a task comes.
     fn asks_first(&mut self, s: usize) -> bool {
-        let blind = self.now < self.blind_until;
-        if blind || self.rule("permissions.probes") == 0.0 || self.probe_every() < STALE {
+        if self.rule("permissions.probes") == 0.0 || self.probe_every() < STALE {
             return false;
         }
         let mut homes: Vec<usize> = self.ready().filter(|&m| self.now >= self.mac.shun_until[m]).collect();
@@ -762,13 +761,14 @@
     }
 
     /// A probe was passed: the first that tells a report shows that all are worth their price, and one that
-    /// tells none that they are not, for as long as a report would be good for.
+    /// tells none that they are not. Machines that have just started tell none yet: it is looked at again
+    /// once this planner is twice as old, and then each time that a report would be good for.
     fn probe_told(&mut self, report: bool) {
         if report && !self.probes_tell {
             (self.probes_tell, self.blind_until) = (true, 0);
             self.probe_round();
         } else if !self.probes_tell {
-            self.blind_until = self.now + STALE;
+            self.blind_until = self.now + (self.now - self.born_at).clamp(TICK, STALE);
         }
     }
 
@@ -781,12 +781,12 @@
 
     fn read_report(&mut self, m: usize, report: &[f64]) {
         let asked = self.asked(m);
+        self.mac.asked_then[m] = asked;
         for (i, &value) in report.iter().enumerate() {
             match text(&self.given, &format!("stats.fields.{i}")) {
                 "x0" => {
                     let used = (self.mac.cores[m] - value).max(0.0);
-                    (self.mac.used_cores[m], self.mac.report_at[m], self.mac.asked_then[m]) =
-                        (used, self.now, asked);
+                    (self.mac.used_cores[m], self.mac.report_at[m]) = (used, self.now);
                     self.average.0.learn(used / self.mac.cores[m].max(1.0), 16.0);
                     if self.view && asked.0 > 0.1 * self.mac.cores[m] {
                         self.cores_use.learn(used / asked.0, 64.0);
