Parts: a lost hall stays one, and who conducts holds its machines back at once

Machines that leave the list left the part, so planners knew none of a lost hall and its evidence went: of each such machine as many planners speak now as had it. And the conductor went by its own word only at its next look, up to a second after the others, with or without parts: it holds the hall back as soon as the word is kept.

--- a/aperture/src/part.rs
+++ b/aperture/src/part.rs
@@ -115,10 +115,11 @@
     }
 
     /// The list has a machine, ready or draining, with the hash of its name.
-    pub fn listed(&mut self, m: usize, name: u64, zone: usize, kind: usize) {
-        let stratum = (zone, kind);
+    /// True: it was not on the list before.
+    pub fn listed(&mut self, m: usize, name: u64, zone: usize, kind: usize) -> bool {
+        let (stratum, new) = ((zone, kind), !self.machines.contains_key(&m));
         match self.machines.get_mut(&m) {
-            Some(known) if known.name == name && known.stratum == stratum => return,
+            Some(known) if known.name == name && known.stratum == stratum => return false,
             Some(known) => {
                 let before = std::mem::replace(&mut known.stratum, stratum);
                 let name_before = std::mem::replace(&mut known.name, name);
@@ -132,6 +133,7 @@
         }
         self.strata.entry(stratum).or_default().insert((name, m));
         self.dirty.insert(stratum);
+        new
     }
 
     /// The list has a machine no longer.
@@ -211,6 +213,14 @@
         self.machines.keys().filter(|m| !self.visited.contains(m)).count()
     }
 
+    /// Whether this planner is one of those that speak for a machine which the list has no longer: the seats of
+    /// its highest weights.
+    pub fn speaks_for(&self, name: u64) -> bool {
+        let own = weight(name, self.terms.seats[self.terms.me]);
+        let seats = self.terms.seats.iter().zip(&self.live).filter(|x| *x.1);
+        seats.filter(|x| weight(name, *x.0) > own).count() < self.terms.copies
+    }
+
     /// Machines that the list has.
     pub fn listed_count(&self) -> usize {
         self.machines.len()
--- a/aperture/tests/deals.rs
+++ b/aperture/tests/deals.rs
@@ -145,6 +145,15 @@
     assert_eq!(many, 32, "no more guests than may be");
 }
 
+/// A hall that is lost leaves the list; planners that have no machine of it any more would not call it lost.
+#[test]
+fn of_a_machine_that_is_gone_as_many_planners_speak_as_had_it() {
+    let all: Vec<Part> = (0..12).map(|me| part(me, 12)).collect();
+    for name in (0..60).map(|m| hash(&format!("m{m}"))) {
+        assert_eq!(all.iter().filter(|p| p.speaks_for(name)).count(), 2);
+    }
+}
+
 #[test]
 fn the_register_is_asked_at_once_for_what_fits_nowhere_and_early_in_the_limit_for_what_waits() {
     let mut shortage = Shortage::new(0);
--- a/aperture/tests/drawn.rs
+++ b/aperture/tests/drawn.rs
@@ -22,9 +22,10 @@
 }
 
 fn list(part: &mut Part, m: usize, on: bool) {
-    match on {
-        true => part.listed(m, hash(&format!("machine-{m}")), m % 7, [0, 0, 0, 1, 1, 2][m / 7 % 6]),
-        false => part.unlisted(m),
+    if on {
+        part.listed(m, hash(&format!("machine-{m}")), m % 7, [0, 0, 0, 1, 1, 2][m / 7 % 6]);
+    } else {
+        part.unlisted(m);
     }
 }
 
--- a/aperture/tests/views.rs
+++ b/aperture/tests/views.rs
@@ -98,7 +98,9 @@
     fn take(&mut self, i: usize, kind: usize) {
         let p = &mut self.planners[i];
         match p.inboxes[kind].pop_front() {
-            Some((_, Word::Machine(m, true))) => p.part.listed(m, name(m), 0, 0),
+            Some((_, Word::Machine(m, true))) => {
+                p.part.listed(m, name(m), 0, 0);
+            }
             Some((_, Word::Machine(m, false))) => p.part.unlisted(m),
             Some((_, Word::Seat(s, lives))) => p.hears[s] = lives,
             None => {}
--- a/planner/src/core/parts.rs
+++ b/planner/src/core/parts.rs
@@ -4,6 +4,7 @@
 use super::*;
 use basaltpitch_aperture::deal::weight;
 use basaltpitch_aperture::{hash, Ask, Need, Part, Role, Shortage, Terms};
+use std::collections::HashSet;
 
 /// The part changes with time each so often.
 const TICK: i64 = 100_000;
@@ -23,8 +24,9 @@
     visits: VecDeque<(i64, usize)>,
     /// What tasks without an answer need, and when their time is over.
     needs: HashMap<usize, (Need, i64)>,
-    /// When machines that are offered work were taken on.
+    /// When machines that are offered work were taken on; those that came to the list meanwhile, long ago.
     taken: HashMap<usize, i64>,
+    came: HashSet<usize>,
     born_at: i64,
 }
 
@@ -33,8 +35,8 @@
     pub fn work_part(&mut self, now: i64, terms: Terms) {
         self.set_clock(now);
         let (part, shortage) = (Part::new(now, terms), Shortage::new(now));
-        let (visits, needs, taken) = (VecDeque::new(), HashMap::new(), HashMap::new());
-        self.part = Some(Parts { part, shortage, visits, needs, taken, born_at: now });
+        let (visits, needs, taken, came) = Default::default();
+        self.part = Some(Parts { part, shortage, visits, needs, taken, came, born_at: now });
         self.placing.host.timers.set(now + TICK, Due::Part);
     }
 
@@ -79,7 +81,10 @@
         let Some(parts) = &mut self.part else { return };
         let (links, offers) = (parts.part.links(m), parts.part.offers(m));
         match offers {
-            true => drop(parts.taken.entry(m).or_insert(now)),
+            true => {
+                let at = if parts.came.remove(&m) { now - LINKED } else { now };
+                parts.taken.entry(m).or_insert(at);
+            }
             false => drop(parts.taken.remove(&m)),
         }
         let Some(machine) = self.known.get_mut(m).and_then(Option::as_mut) else { return };
@@ -103,7 +108,9 @@
         let Some(parts) = &mut self.part else { return self.dials.want(m, now) };
         let Some(standing) = self.known[m].as_mut().map(|x| &mut x.standing) else { return };
         let (kind, zone, _) = standing.place;
-        parts.part.listed(m, hash(self.machines.door.id(m)), zone, kind);
+        if parts.part.listed(m, hash(self.machines.door.id(m)), zone, kind) {
+            parts.came.insert(m);
+        }
         standing.outside = !parts.part.offers(m);
         if standing.started >= parts.born_at + CLOCKS {
             // Nothing that an earlier life of the seat launched runs there.
@@ -114,6 +121,7 @@
     pub(super) fn part_unlisted(&mut self, m: usize) {
         if let Some(parts) = &mut self.part {
             parts.part.unlisted(m);
+            parts.came.remove(&m);
         }
     }
 
@@ -257,16 +265,21 @@
     }
 
     /// Each machine that this planner can say something of: not those outside its part, which are unknown to
-    /// it and not gone, nor those that it has only just taken on.
+    /// it and not gone, nor those that it has only just taken on from others. Of machines that are gone each
+    /// has as many planners that speak for it, so that a hall that is lost stays one.
     pub(crate) fn machines_worked(
         &self,
     ) -> impl Iterator<Item = (usize, &Standing, basaltpitch::host::Belief)> {
         let now = self.now();
-        let linked_by_now = move |m: usize| {
-            self.part.as_ref().is_none_or(|x| x.taken.get(&m).is_some_and(|at| now - at >= LINKED))
+        let speaks_of = move |m: usize, standing: &Standing| {
+            let Some(parts) = &self.part else { return true };
+            if !standing.is_wanted() {
+                return parts.part.speaks_for(hash(self.machines.door.id(m)));
+            }
+            let linked_by_now = parts.taken.get(&m).is_some_and(|at| now - at >= LINKED);
+            !standing.outside && (standing.answers() || linked_by_now)
         };
-        let all = self.machines();
-        all.filter(move |(m, s, _)| s.answers() && !s.outside || linked_by_now(*m))
+        self.machines().filter(move |(m, standing, _)| speaks_of(*m, standing))
     }
 
     /// What operators see of the part; none where the planner works the whole fleet.
--- a/planner/src/peers.rs
+++ b/planner/src/peers.rs
@@ -83,8 +83,10 @@
     }
 
     /// A word of the council on the duty of who conducts halls.
-    pub fn conducts(&mut self, now: i64, word: Duty) {
+    pub fn conducts(&mut self, now: i64, core: &mut Core, word: Duty) {
         self.halls.hear(now, word);
+        // Who conducts goes by its own word as soon as it is kept: others may have it, and count on it.
+        core.hold_halls(now, self.halls.stages());
     }
 
     /// The time at which `clock` has something to do.
--- a/planner/src/service.rs
+++ b/planner/src/service.rs
@@ -387,7 +387,7 @@
             _ => false,
         };
         match (word, &mut self.peers, &mut self.rolls) {
-            (word, Some(peers), _) if of_halls => peers.conducts(now, word),
+            (word, Some(peers), _) if of_halls => peers.conducts(now, &mut self.core, word),
             (Duty::Seats(seats), Some(peers), _) => {
                 for (seat, token, note) in seats {
                     if let Some(note) = note.as_ref().filter(|_| *seat == *halls::DUTY) {
