Parts: what the edges held of figures and settings goes to aperture and records

The read-through found five tuned times and sizes in the planner's edge (planner/src/core/parts.rs), and a setting that serve overwrote after it was laid out. The first stand in aperture now; the second is laid out by records: with parts the list tells no room. Behaviour stays as it is.

--- a/aperture/src/part.rs
+++ b/aperture/src/part.rs
@@ -8,6 +8,15 @@
 use crate::deal::{deal, weight};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+/// The part changes with time each so often.
+pub const TICK: i64 = 100_000;
+/// Endings follow an inventory at once; so long after it a link that is wanted for nothing else may go.
+pub const VISIT: i64 = 1_000_000;
+/// What was taken on so long ago is linked, if it answers at all.
+pub const LINKED: i64 = 5_000_000;
+/// Clocks of two hosts may differ by so much.
+pub const CLOCKS: i64 = 5_000_000;
+
 /// The parts of settings that bind a part.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
--- a/aperture/src/shortage.rs
+++ b/aperture/src/shortage.rs
@@ -12,6 +12,8 @@
 const AGAIN: i64 = 1_000_000;
 /// Machines that one question asks for at the most.
 pub const MOST: u32 = 4;
+/// Names that one question to the register holds at the most.
+pub const MOST_NAMES: usize = 32;
 /// Shortage is weighed over this time: it takes this many cases, and this part of all askings.
 const WINDOW: i64 = 5_000_000;
 const CASES: u64 = 5;
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -246,12 +246,8 @@
             Laid::Number(n) => Value::Number(n),
             Laid::Text(t) => Value::Text(t),
         };
-        let mut given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
+        let given: Given = installation.lay_out(&seat).into_iter().map(|(k, v)| (k, value(v))).collect();
         let part = under.as_ref().and_then(|under| part(installation, &under.seats, number));
-        if part.is_some() {
-            // The brief list tells no room.
-            given.insert("familyInfo.view".into(), Value::Number(0.0));
-        }
         let clauses = crate::clauses_of(installation)?;
         let directory = crate::directory_of(installation)?;
         let store = match (self.state.as_ref().map(|folder| open(folder, &name)).transpose(), &under) {
--- a/planner/src/core/parts.rs
+++ b/planner/src/core/parts.rs
@@ -3,20 +3,11 @@
 //! linked.
 use super::*;
 use basaltpitch_aperture::deal::weight;
+use basaltpitch_aperture::part::{CLOCKS, LINKED, TICK, VISIT};
+use basaltpitch_aperture::shortage::MOST_NAMES;
 use basaltpitch_aperture::{hash, Ask, Need, Part, Role, Shortage, Terms};
 use std::collections::HashSet;
 
-/// The part changes with time each so often.
-const TICK: i64 = 100_000;
-/// Endings follow an inventory at once; so long after it a link that is wanted for nothing else may go.
-const VISIT: i64 = 1_000_000;
-/// What was taken on so long ago is linked, if it answers at all.
-const LINKED: i64 = 5_000_000;
-/// Clocks of two hosts may differ by so much.
-const CLOCKS: i64 = 5_000_000;
-/// Names that one question to the register holds at the most.
-const MOST_NAMES: usize = 32;
-
 pub(super) struct Parts {
     part: Part,
     shortage: Shortage,
--- a/records/src/installation.rs
+++ b/records/src/installation.rs
@@ -363,7 +363,6 @@
         let plain = [
             ("familyInfo.admitCores", "machines.accept_cores"),
             ("familyInfo.admitMemory", "machines.accept_memory"),
-            ("familyInfo.view", "machines.lists_room"),
             ("familyInfo.coldSends", "rules.cold_offers"),
             ("familyInfo.makeSureUs", "rules.settle"),
             ("rules.coldUs", "rules.cold"),
@@ -378,6 +377,10 @@
             ("tariffs.crossZone", "prices.cross_zone"),
         ];
         plain.iter().for_each(|(to, from)| put((*to).into(), number(all, from)));
+        // With parts the list is watched brief, which tells no room.
+        let room =
+            if self.copies().is_some() { Laid::Number(0.0) } else { number(all, "machines.lists_room") };
+        put("familyInfo.view".into(), room);
         put("familyInfo.yesAt".into(), text(all, "machines.yes"));
         put("discovery".into(), text(all, "register.mode"));
         put("nInstances".into(), Laid::Number(seat.planners as f64));
--- a/records/tests/records.rs
+++ b/records/tests/records.rs
@@ -1,5 +1,5 @@
 //! What the reader of records says, good and bad, as an operator sees it.
-use basaltpitch_records::installation::{load_texts, Laid, Seat};
+use basaltpitch_records::installation::{load_texts, Installation, Laid, Seat};
 use expect_test::expect;
 
 const GOOD: &str = r#"
@@ -132,12 +132,18 @@
     let all = load_texts(&[("a.rec", GOOD)]).unwrap();
     assert_eq!(all.regions(), [("all".to_owned(), vec![0, 1])], "one region where none is named");
     assert_eq!((all.heartbeat_us(), all.copies(), all.bytes_a_second()), (250_000, None, None));
+    let view = |all: &Installation| {
+        let laid = all.lay_out(&Seat { number: 0, planners: 1, zone: "hall-a".into() });
+        laid.into_iter().find(|x| x.0 == "familyInfo.view").map(|x| x.1)
+    };
+    assert_eq!(view(&all), Some(Laid::Number(1.0)), "the list shows room by default");
     let council = "council: voters: [{name: \"v0\", address: \"127.0.0.1:1\"}]\n";
     let more = "regions: [{name: \"east\", zones: [\"hall-b\"]}, {name: \"west\", zones: [\"hall-a\"]}]\n\
                 heartbeat: 2s\nparts: copies: 2\ncontrol: bytes_a_second: 4000\n";
     let all = load_texts(&[("a.rec", GOOD), ("b.rec", more), ("c.rec", council)]).unwrap();
     assert_eq!(all.regions(), [("east".to_owned(), vec![1]), ("west".to_owned(), vec![0])]);
     assert_eq!((all.heartbeat_us(), all.copies()), (2_000_000, Some(2)));
+    assert_eq!(view(&all), Some(Laid::Number(0.0)), "the brief list of planners with parts tells no room");
     assert_eq!(all.bytes_a_second(), Some(4000.0));
     let wrong = with(
         "regions: [{name: \"east\", zones: [\"hall-a\", \"hall-c\"]}, {name: \"west\", zones: [\"hall-a\"]}]\n\
