Measure-council: processor time and memory are read where measure-scale reads them

The read-through found the reading of /proc a second time: processes::used_by came with measure-scale, and measure-council kept its own. One piece serves both now.

--- a/cli/src/measure_council.rs
+++ b/cli/src/measure_council.rs
@@ -1,7 +1,7 @@
 //! `basaltpitch measure-council`: what the council costs each member and each voter, and what it costs
 //! members to tell each other how they are, by the number of members, with all of them as processes of this
 //! binary on loopback, each under a seat; and what the look at the term costs a launch.
-use crate::processes::{measured, site, Process};
+use crate::processes::{measured, site, Process, Used};
 use crate::Failure;
 use basaltpitch_planner::council::Tenure;
 use basaltpitch_standins::relay::{self, Ways};
@@ -32,20 +32,10 @@
     first.map_err(late)?.map(drop)
 }
 
-/// Seconds of processor time that a process has used, of /proc (clock ticks of 10 ms), and its memory in MiB.
-fn used(process: &Process) -> io::Result<(f64, f64)> {
-    let id = process.id()?;
-    let stat = std::fs::read_to_string(format!("/proc/{id}/stat"))?;
-    let after = stat.rsplit(')').next().unwrap_or("");
-    let ticks = |n: usize| after.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-    let pages = std::fs::read_to_string(format!("/proc/{id}/statm"))?;
-    let pages = pages.split_whitespace().nth(1).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-    Ok(((ticks(11) + ticks(12)) / 100.0, pages * 4.0 / 1024.0))
-}
-
+/// Seconds of processor time that processes have used, and their memory in MiB.
 fn sum(all: &[Process]) -> io::Result<(f64, f64)> {
-    let each: io::Result<Vec<(f64, f64)>> = all.iter().map(used).collect();
-    Ok(each?.iter().fold((0.0, 0.0), |s, x| (s.0 + x.0, s.1 + x.1)))
+    let each: io::Result<Vec<Used>> = all.iter().map(Process::used).collect();
+    Ok(each?.iter().fold((0.0, 0.0), |s, x| (s.0 + x.cpu_s, s.1 + x.mib)))
 }
 
 /// Of how many seats a member hears, its own among them.
