Platform: a give-up that crosses its refusal no longer closes the client's connection

Cause: `client_closes` took a close of an id that is over for an invalid line, and a connection was closed at its first invalid line where nothing of it had been placed, else at the eighth of its whole life. Debug log: `client's line refused kind="close" why="field 'sid': names nothing that is known"`, then `client's connection closed`. A client cannot know that its give-up crosses an answer. The same fault held for a give-up on another connection than the request's, and for the end of a task that was over or moved in that moment.

Such a close has no effect now and counts for nothing. Other invalid lines count over 10 s. A connection that is closed for its lines has what was taken on it answered first, its attempts given up at their machines before (`deadline_shortened`: the module answers as when time is up).

--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -35,6 +35,22 @@
         self.serve_waiting();
     }
 
+    /// A task must be answered within `time_left_us` from now, if not earlier. One that waits and has no time left
+    /// is given up at once; one whose attempt is out, with the attempt's outcome.
+    pub fn deadline_shortened(&mut self, task: usize, time_left_us: i64) {
+        let shortened = &mut self.tasks[task];
+        shortened.deadline_at = shortened.deadline_at.min(self.now + time_left_us);
+        if shortened.phase != TaskPhase::Waiting {
+            return;
+        }
+        self.waiting.retain(|&other| other != task);
+        if self.is_too_late(task) {
+            self.give_up(task);
+        } else {
+            self.wait(task);
+        }
+    }
+
     /// A timer that the planner set is due; its token says which.
     pub fn timer_fired(&mut self, token: u64) {
         if token != 0 {
