Platform: the time to the kill counts from when the order to stop was given, not read

Cause: all times counted from reading the signal, and a process that stands still (SIGSTOP, a shared core) reads it late.

--- a/cli/tests/node_exit.rs
+++ b/cli/tests/node_exit.rs
@@ -2,7 +2,7 @@
 mod wire;
 use serde_json::json;
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use wire::*;
 
 /// A task of this client stands on the one machine; the machine's link and the client.
@@ -176,3 +176,45 @@
         .unwrap();
     Peer::new(TcpStream::from(socket))
 }
+
+/// The platform kills a planner no earlier than so long after the order to stop: the longest deadline, counted as
+/// 3 s, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+
+/// The answers' ids and causes in the order in which they come, each before the earliest kill.
+fn answers_before_the_kill(client: &mut Peer, count: usize, since: Instant) -> Vec<(String, i64)> {
+    let answer = |_| {
+        let line = client.line().expect("an answer");
+        assert!(since.elapsed() < EARLIEST_KILL, "{line} came {:?} after the order", since.elapsed());
+        (line["sid"].as_str().unwrap().to_owned(), line["code"].as_i64().unwrap())
+    };
+    (0..count).map(answer).collect()
+}
+
+/// The process stood still when it was told to stop, and read the order 0.4 s late: its time to serve on began
+/// then, and the requests of 0.8 to 1.0 s were taken and had no answer at the earliest kill. The machine takes
+/// all and says nothing.
+#[test]
+fn what_is_taken_after_a_late_order_is_answered_before_the_kill() {
+    let (machine, at) = listener();
+    let node = started_with("late-order", &free_address(), &[("a", &at)], quiet);
+    let mut client = Peer::to(&node);
+    client.say(&request(&id(1), json!({})));
+    let mut link = Peer::of(&machine);
+    link.next("open").unwrap();
+    node.hold();
+    node.signal("-TERM");
+    let since = Instant::now();
+    wait_until(since, 400);
+    node.go_on();
+    for (n, at_ms) in [(2, 500), (3, 800), (4, 900), (5, 1_000), (6, 1_200)] {
+        wait_until(since, at_ms);
+        client.say(&request(&id(n), json!({})));
+    }
+    let mut answered = answers_before_the_kill(&mut client, 6, since);
+    answered.sort();
+    assert_eq!(
+        answered.iter().map(|answer| answer.0.clone()).collect::<Vec<_>>(),
+        (1..7).map(id).collect::<Vec<_>>()
+    );
+}
