Platform: while clients are connected a planner told to stop refuses until the kill

Cause: the planner ended as soon as it owed nothing, whoever still used a connection. What came between its last look at the sockets and its end had nobody to answer it.

--- a/cli/tests/node_exit.rs
+++ b/cli/tests/node_exit.rs
@@ -218,3 +218,23 @@
         (1..7).map(id).collect::<Vec<_>>()
     );
 }
+
+/// The planner ended in a moment in which nothing was owed, 3.5 s after the order and before the earliest kill,
+/// though a client still used its connection: the request of that moment had no answer.
+#[test]
+fn a_client_that_uses_its_connection_is_refused_until_the_kill() {
+    let (_machine, at) = listener();
+    let node = started_with("until-kill", &free_address(), &[("a", &at)], quiet);
+    let mut client = Peer::to(&node);
+    client.say(&message("probe", &id(1), json!({}), 0));
+    client.next("probed").unwrap();
+    let since = node.told_to_stop();
+    wait_until(since, 800);
+    let mut n = 10;
+    while since.elapsed() + Duration::from_millis(100) < EARLIEST_KILL {
+        client.say(&request(&id(n), json!({})));
+        assert_eq!(answers_before_the_kill(&mut client, 1, since), [(id(n), 42)]);
+        std::thread::sleep(Duration::from_millis(10));
+        n += 1;
+    }
+}
