Platform: a connection with a line that waits is neither silent nor idle

Log: `client's connection closed why="it said nothing"`.

Cause: the process was held from 1.44 s to 2.15 s of the connection's life and its first line came at 1.51 s. After the stall the timer for silent connections, 2 s, was due before the sockets were read. Closing when idle was no help as it was: it read what the runtime knew to be readable, without a poll since the stall, and did not see lines that were read and waited for their turn.

--- a/cli/tests/node_connections.rs
+++ b/cli/tests/node_connections.rs
@@ -120,6 +120,26 @@
     assert!(most < 64, "{most} descriptors of 64");
 }
 
+/// A connection must bring its first line within 2 s. The line came in time, while the process stood still; when it
+/// went on, its timers were due before its sockets were read, and the connection was closed with the request unread
+/// (`client's connection closed why="it said nothing"`).
+#[test]
+fn a_first_line_that_came_during_a_stall_counts() {
+    let (machine, at) = listener();
+    let node = started_with("first-line", &free_address(), &[("a", &at)], quiet);
+    let mut client = Peer::to(&node);
+    let since = Instant::now();
+    wait_until(since, 1_600);
+    node.hold();
+    client.say(&request(&id(2), json!({})));
+    wait_until(since, 2_300);
+    node.go_on();
+    let mut link = Peer::of(&machine);
+    assert_eq!(link.next("open").unwrap()["sid"], id(2));
+    link.say(&ready(&id(2), "taken"));
+    assert_eq!(client.next("ready").unwrap()["sid"], id(2));
+}
+
 /// Killed and started again with discovery down, machines that never come up and a queue of connections
 /// before it, the planner passes its first test in time.
 #[test]
