--- a/cli/tests/node_connections.rs
+++ b/cli/tests/node_connections.rs
@@ -140,6 +140,26 @@
     assert_eq!(client.next("ready").unwrap()["sid"], id(2));
 }
 
+/// A machine's answer came while the process stood still, and the attempt's 3 s were over when it went on. The timers
+/// were due before the sockets were read: the attempt was given up and the task that the machine had taken was cut.
+#[test]
+fn an_answer_that_came_during_a_stall_counts() {
+    let (machine, at) = listener();
+    let node = started_with("stall-answer", &free_address(), &[("a", &at)], quiet);
+    let mut client = Peer::to(&node);
+    client.say(&request(&id(2), json!({})));
+    let mut link = Peer::of(&machine);
+    link.next("open").unwrap();
+    let since = Instant::now();
+    wait_until(since, 2_500);
+    node.hold();
+    link.say(&ready(&id(2), "taken"));
+    wait_until(since, 3_300);
+    node.go_on();
+    let answer = client.line().unwrap();
+    assert_eq!((&answer["msg"], &answer["sid"]), (&json!("ready"), &json!(id(2))));
+}
+
 /// Killed and started again with discovery down, machines that never come up and a queue of connections
 /// before it, the planner passes its first test in time.
 #[test]
