--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -17,6 +17,7 @@
 use basaltpitch_config::installation::{self, Installation};
 use basaltpitch_config::{ConfigError, Sources};
 use clap::{Parser, Subcommand, ValueEnum};
+use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -112,7 +113,10 @@
             return fail(Failure::Wrong(format!("--log: found {:?} ({e}); expected such as info", cli.log)))
         }
     };
-    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    let logs = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(logs_have_colours());
     match cli.output {
         Output::Json => logs.json().init(),
         Output::Text => logs.init(),
@@ -147,6 +151,12 @@
     }
 }
 
+/// Colour codes go to a terminal only, and to none where `NO_COLOR` is set to anything.
+fn logs_have_colours() -> bool {
+    let is_unwanted = std::env::var_os("NO_COLOR").is_some_and(|value| !value.is_empty());
+    std::io::stderr().is_terminal() && !is_unwanted
+}
+
 fn fail(failure: Failure) -> ExitCode {
     let (text, code) = match failure {
         Failure::Failed(text) => (text, 1),
