--- a/cli/tests/wire/mod.rs
+++ b/cli/tests/wire/mod.rs
@@ -38,7 +38,7 @@
 pub fn free_address() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    format!("127.{}.{}.{}:5080", 64 + pid % 64, pid / 64 % 250, 1 + n)
+    format!("127.{}.{}.{}:{}", 64 + pid % 64, pid / 64 % 250, 1 + n % 250, 5080 + n / 250)
 }
 
 pub fn listener() -> (TcpListener, String) {
@@ -117,6 +117,11 @@
         }
     }
 
+    /// The lines of its log that have come.
+    pub fn log_lines(&self) -> Vec<String> {
+        self.log.try_iter().collect()
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
