--- a/cli/tests/soak/client.rs
+++ b/cli/tests/soak/client.rs
@@ -1,6 +1,6 @@
 //! One client: it uses one connection until that ends, gives requests up, ends tasks, and comes again.
 use super::plan::Plan;
-use super::trace::{Event, Message, Party, Trace};
+use super::trace::{cause, Event, Message, Party, Trace};
 use super::wire::harness::{message, request};
 use fastrand::Rng;
 use serde_json::{json, Value};
@@ -23,8 +23,6 @@
 const RECONNECT_DELAY: Duration = Duration::from_millis(20);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-const ENDED: i64 = 16;
-
 /// What a client does next with a request or a task of its own.
 type Closes = BTreeMap<Instant, Vec<String>>;
 
@@ -147,7 +145,7 @@
             return false;
         }
         if self.random.u32(0..100) < GIVEN_UP_PERCENT {
-            return self.say(write, &message("close", &id, json!({}), ENDED)).await;
+            return self.say(write, &message("close", &id, json!({}), cause::ENDED)).await;
         }
         // Its owner waits no longer than it said.
         let gives_up_at = Instant::now() + Duration::from_millis(left_ms);
@@ -161,7 +159,7 @@
         let Some((_, due)) = self.closes.pop_first() else { return true };
         for id in due {
             let is_open = self.requests.remove(&id) | self.tasks.remove(&id);
-            if is_open && !self.say(write, &message("close", &id, json!({}), ENDED)).await {
+            if is_open && !self.say(write, &message("close", &id, json!({}), cause::ENDED)).await {
                 return false;
             }
         }
--- a/cli/tests/soak/judge.rs
+++ b/cli/tests/soak/judge.rs
@@ -1,7 +1,7 @@
 //! Judges one life by its traffic alone, by the words of the platform's protocol.
 use super::life::{MAX_DESCRIPTORS, MAX_MEMORY_MB};
-use super::plan::{LifePlan, PlannerSignal};
-use super::trace::{Entry, Event, Message, Party};
+use super::plan::PlannerSignal;
+use super::trace::{cause, Entry, Event, Message, Party};
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -15,9 +15,6 @@
 /// Nothing is sent to a machine so long after it was told to leave.
 const DRAIN_GRACE_US: i64 = 1_000_000;
 
-const FULL: i64 = 34;
-const BUSY: i64 = 42;
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
     /// A line on a request after its final answer, other than the end of what stood.
@@ -106,7 +103,7 @@
 }
 
 /// Judges what was recorded of a life.
-pub fn judge(_plan: &LifePlan, entries: Vec<Entry>) -> Verdict {
+pub fn judge(entries: Vec<Entry>) -> Verdict {
     let mut life = Life { kill_us: i64::MAX, ..Life::default() };
     life.read_signals(&entries);
     entries.iter().for_each(|entry| life.read(entry));
@@ -128,7 +125,7 @@
 }
 
 fn is_refusal(answer: &Message) -> bool {
-    answer.kind == "close" && matches!(answer.code, Some(FULL | BUSY))
+    answer.kind == "close" && matches!(answer.code, Some(cause::FULL | cause::BUSY))
 }
 
 impl Life {
--- a/cli/tests/soak/life.rs
+++ b/cli/tests/soak/life.rs
@@ -113,7 +113,7 @@
     let _ = node.child.wait();
     let logged_at_us = trace.now_us();
     node.log_lines().into_iter().for_each(|line| trace.add_at(logged_at_us, Event::Logged(line)));
-    LifeReport::new(plan, number, judge::judge(life, trace.take()))
+    LifeReport::new(plan, number, judge::judge(trace.take()))
 }
 
 fn signal_of(signal: PlannerSignal) -> Signal {
--- a/cli/tests/soak/machine.rs
+++ b/cli/tests/soak/machine.rs
@@ -1,7 +1,7 @@
 //! One machine: it answers attempts after a lag that it draws, runs what it took, refuses what does not fit, and
 //! fails as its plan says.
 use super::plan::{MachineFault, MachinePlan};
-use super::trace::{Event, Message, Party, Trace};
+use super::trace::{cause, Event, Message, Party, Trace};
 use super::wire::harness::{message, ready};
 use fastrand::Rng;
 use serde_json::{json, Value};
@@ -28,11 +28,6 @@
 /// A task runs for at most twice this.
 const MEAN_RUN: Duration = Duration::from_millis(1_000);
 
-const ENDED: i64 = 16;
-const CANCELLED: i64 = 31;
-const FULL: i64 = 34;
-const ERROR: i64 = 47;
-
 #[derive(Clone, Copy, PartialEq)]
 enum TaskState {
     Offered,
@@ -100,30 +95,28 @@
         };
         let resets = sleep(reset_after);
         tokio::pin!(resets);
-        let is_reset = loop {
+        let end = loop {
             tokio::select! {
                 line = next_line(&mut read, self.idle_timeout()) => match line {
                     ReadLine::Line(line) => self.hear(connection, &line),
-                    ReadLine::End => break false,
-                    ReadLine::Idle => {
-                        self.record(Event::EndedByPeer(self.party(), connection));
-                        break false;
-                    }
+                    ReadLine::End => break ConnectionEnd::ByPlanner,
+                    ReadLine::Idle => break ConnectionEnd::Idle,
                 },
                 Some(line) = outgoing.recv() => {
                     if write.write_all(line.as_bytes()).await.is_err() {
-                        break false;
+                        break ConnectionEnd::ByPlanner;
                     }
                 }
-                _ = &mut resets => break true,
+                _ = &mut resets => break ConnectionEnd::Reset,
             }
         };
-        if is_reset {
-            self.record(Event::EndedByPeer(self.party(), connection));
+        self.record(match end {
+            ConnectionEnd::ByPlanner => Event::EndedByPlanner(self.party(), connection),
+            ConnectionEnd::Idle | ConnectionEnd::Reset => Event::EndedByPeer(self.party(), connection),
+        });
+        if end == ConnectionEnd::Reset {
             let stream = read.into_inner().into_inner().reunite(write).expect("two halves of one stream");
             let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-        } else {
-            self.record(Event::EndedByPlanner(self.party(), connection));
         }
         self.writers.borrow_mut().remove(&connection);
         self.held
@@ -151,8 +144,8 @@
 
     fn hear(self: &Rc<Self>, connection: u64, line: &Value) {
         let heard = Message::of(line);
-        let id = heard.id.clone();
-        match heard.kind.clone().as_str() {
+        let (kind, id) = (heard.kind.clone(), heard.id.clone());
+        match kind.as_str() {
             "probe" => {
                 let free = CORES.saturating_sub(self.held.borrow().len());
                 let load = json!({"load": format!("x0:{free};x1:{}", 2 * free)});
@@ -173,7 +166,7 @@
     fn offered(self: &Rc<Self>, connection: u64, id: String) {
         if self.drains.get() || self.held.borrow().len() >= CORES {
             let why = if self.drains.get() { "not_here" } else { "no_cores" };
-            return self.say(connection, message("close", &id, json!({"note": why}), FULL));
+            return self.say(connection, message("close", &id, json!({"note": why}), cause::FULL));
         }
         let held = Held { state: TaskState::Offered, connection };
         self.held.borrow_mut().insert(id.clone(), held);
@@ -199,7 +192,7 @@
         }
         if chance < UNANSWERED_PERCENT + ERROR_PERCENT {
             self.held.borrow_mut().remove(&id);
-            return self.say(connection, message("close", &id, json!({}), ERROR));
+            return self.say(connection, message("close", &id, json!({}), cause::ERROR));
         }
         if let Some(held) = self.held.borrow_mut().get_mut(&id) {
             held.state = TaskState::Runs;
@@ -209,7 +202,7 @@
         sleep(run).await;
         if self.holds(&id, TaskState::Runs) {
             self.held.borrow_mut().remove(&id);
-            self.say(connection, message("close", &id, json!({}), ENDED));
+            self.say(connection, message("close", &id, json!({}), cause::ENDED));
         }
     }
 
@@ -218,11 +211,19 @@
         let was_running = self.holds(id, TaskState::Runs);
         self.held.borrow_mut().remove(id);
         if was_running {
-            self.say(connection, message("close", id, json!({}), CANCELLED));
+            self.say(connection, message("close", id, json!({}), cause::CANCELLED));
         }
     }
 }
 
+/// How a connection of the machine's ended.
+#[derive(PartialEq)]
+enum ConnectionEnd {
+    ByPlanner,
+    Idle,
+    Reset,
+}
+
 enum ReadLine {
     Line(Value),
     End,
--- a/cli/tests/soak/trace.rs
+++ b/cli/tests/soak/trace.rs
@@ -6,6 +6,15 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+/// Causes of a `close`, as the protocol numbers them; literal, so that the soak does not follow the product's.
+pub mod cause {
+    pub const ENDED: i64 = 16;
+    pub const CANCELLED: i64 = 31;
+    pub const FULL: i64 = 34;
+    pub const BUSY: i64 = 42;
+    pub const ERROR: i64 = 47;
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Party {
     Client(usize),
