--- a/review/stand-ins/src/coordinator.rs
+++ b/review/stand-ins/src/coordinator.rs
@@ -1,7 +1,7 @@
 //! The coordinator: numbered events of the machines' list over HTTP/1.1, with long polls.
 use crate::record;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -30,6 +30,10 @@
 struct Events {
     /// The text of each event; event 1 holds the whole list.
     texts: Vec<String>,
+    /// Whether the coordinator is down: it breaks off open calls and answers none.
+    is_down: bool,
+    /// Open connections.
+    streams: Vec<TcpStream>,
 }
 
 impl Events {
@@ -78,12 +82,32 @@
         told.notify_all();
     }
 
+    /// Breaks off all calls, or answers calls again.
+    pub fn set_down(&self, is_down: bool) -> f64 {
+        let (events, told) = &*self.events;
+        let mut events = events.lock().unwrap();
+        record::add("coordinator", if is_down { "breaks off and is down" } else { "is up again" });
+        events.is_down = is_down;
+        for stream in events.streams.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        told.notify_all();
+        record::now_ms()
+    }
+
     /// All events so far, in the form of `known`.
     pub fn known(&self) -> String {
         self.events.0.lock().unwrap().reply(0)
     }
 
     fn serve(&self, stream: TcpStream) {
+        {
+            let mut events = self.events.0.lock().unwrap();
+            if events.is_down {
+                return;
+            }
+            events.streams.extend(stream.try_clone());
+        }
         let mut writer = stream.try_clone().expect("a second handle of the connection");
         let mut reader = BufReader::new(stream);
         loop {
@@ -109,13 +133,16 @@
             let until = Instant::now() + Duration::from_millis(wait_ms.min(5_000) as u64);
             let (events, told) = &*self.events;
             let mut events = events.lock().unwrap();
-            while events.texts.len() <= after {
+            while events.texts.len() <= after && !events.is_down {
                 let left = until.saturating_duration_since(Instant::now());
                 if left.is_zero() {
                     break;
                 }
                 events = told.wait_timeout(events, left).unwrap().0;
             }
+            if events.is_down {
+                return;
+            }
             let body = events.reply(after);
             let has_news = events.texts.len() > after;
             drop(events);
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -2,6 +2,7 @@
 //! the coordinator. All of them listen on loopback addresses and write what they send and receive
 //! to one record. A case is a program in `src/bin/`.
 pub mod coordinator;
+pub mod front;
 pub mod json;
 pub mod machine;
 pub mod owner;
--- a/review/stand-ins/src/machine.rs
+++ b/review/stand-ins/src/machine.rs
@@ -28,6 +28,8 @@
     /// Connections that only fill the queue of a vanished machine's listener.
     fillers: Vec<TcpStream>,
     probes_answered: u64,
+    /// For how long accepted tasks run; they end by themselves after that.
+    life: Option<Duration>,
     /// All set-ups received, with their times.
     offers: Vec<(f64, String)>,
 }
@@ -84,6 +86,11 @@
         self.state.lock().unwrap().offers.clone()
     }
 
+    /// Accepted tasks end by themselves after this time.
+    pub fn set_life(&self, life: Duration) {
+        self.state.lock().unwrap().life = Some(life);
+    }
+
     /// From now on the machine accepts no task.
     pub fn drain(&self) {
         self.state.lock().unwrap().is_draining = true;
@@ -149,6 +156,15 @@
                     return self.send(connection, &line("close", &message.id, note, Some(34), None));
                 }
                 state.standing.insert(message.id.clone(), connection);
+                if let Some(life) = state.life {
+                    let (machine, id) = (self.clone(), message.id.clone());
+                    thread::spawn(move || {
+                        thread::sleep(life);
+                        if machine.holds(&id) {
+                            machine.end_task(&id, 16);
+                        }
+                    });
+                }
                 drop(state);
                 let text = format!("{} holds {}\r\n", self.host, message.id);
                 self.send(connection, &line("ready", &message.id, "{}", None, Some(&text)));
@@ -220,12 +236,18 @@
         // The accept thread takes one connection more and ends; the next ones fill the listener's
         // queue, after which the kernel answers no further set-up of a connection.
         unsafe { listen(self.listener.as_raw_fd(), 0) };
-        for _ in 0..16 {
+        let mut failures = 0;
+        while failures < 3 {
             match TcpStream::connect_timeout(&self.address, Duration::from_millis(30)) {
-                Ok(filler) => self.state.lock().unwrap().fillers.push(filler),
-                Err(_) => break,
+                Ok(filler) => {
+                    failures = 0;
+                    self.state.lock().unwrap().fillers.push(filler);
+                }
+                Err(_) => failures += 1,
             }
         }
+        let fillers = self.state.lock().unwrap().fillers.len();
+        record::add(&self.host, &format!("{fillers} connections of its own fill its listener's queue"));
         record::add(&self.host, "vanished: its tasks have ended, nobody is told, no connection comes up");
         self.state.lock().unwrap().standing.clear();
         at_ms
--- a/review/stand-ins/src/owner.rs
+++ b/review/stand-ins/src/owner.rs
@@ -31,6 +31,7 @@
     pub id: &'a str,
     pub key: &'a str,
     pub class: &'a str,
+    pub tenant: &'a str,
     pub idem: Option<&'a str>,
     pub left_ms: u64,
     pub cores: &'a str,
@@ -43,16 +44,16 @@
 impl<'a> Request<'a> {
     pub fn small(id: &'a str, key: &'a str) -> Request<'a> {
         let service = "00000000000000b1";
-        Request { id, key, class: "small-svc", idem: None, left_ms: 5_500, cores: "1", memory: "2", service, at: None }
+        Request { id, key, class: "small-svc", tenant: "orders", idem: None, left_ms: 5_500, cores: "1", memory: "2", service, at: None }
     }
 
     pub fn line(&self) -> String {
         let at = self.at.map_or(String::new(), |at| format!(";at:{at}"));
         let idem = self.idem.map_or(String::new(), |idem| format!(",\"idem\":\"{idem}\""));
         let attributes = format!(
-            "{{\"class\":\"{}\",\"left\":\"{}\",\"tenant\":\"orders\",\"key\":\"{}\"{idem},\
+            "{{\"class\":\"{}\",\"left\":\"{}\",\"tenant\":\"{}\",\"key\":\"{}\"{idem},\
              \"extras\":\"cores:{};memory:{};service:{}{at}\"}}",
-            self.class, self.left_ms, self.key, self.cores, self.memory, self.service
+            self.class, self.left_ms, self.tenant, self.key, self.cores, self.memory, self.service
         );
         line("open", self.id, &attributes, None, Some(&format!("task {}\r\n", self.key)))
     }
@@ -129,6 +130,11 @@
         self.wait_for(limit, |message| message.id == id && matches!(message.kind.as_str(), "ready" | "close"))
     }
 
+    /// The address that the connection comes from.
+    pub fn local_address(&self) -> SocketAddr {
+        self.stream.local_addr().expect("a local address")
+    }
+
     pub fn has_ended(&self) -> bool {
         self.inbox.0.lock().unwrap().has_ended
     }
