--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod machine;
 pub mod owner;
 pub mod planner;
+pub mod proxy;
 pub mod record;
 
 use json::{quote, Json};
