Review: the stand-in machine reads on while it looks at an offer

Cause: arrivals behind an offer were recorded late. Change: offers wait for their turn in threads of their own.

--- a/review/stand-ins/src/bin/discovery_outage.rs
+++ b/review/stand-ins/src/bin/discovery_outage.rs
@@ -27,7 +27,10 @@
     for n in 0..800u32 {
         let now_ms = record::now_ms();
         if now_ms >= 4_000.0 && down.is_none() {
-            down = Some(if plays_trouble() { coordinator.set_down(true) } else { now_ms });
+            // News that has just come: the list held is as fresh as it can be.
+            coordinator.tell(false, &[machines[3].entry("in_service")]);
+            sleep(Duration::from_millis(20));
+            down = Some(if plays_trouble() { coordinator.set_down(true) } else { record::now_ms() });
         }
         if now_ms >= 4_500.0 && drained.is_none() {
             drained = Some(now_ms);
--- a/review/stand-ins/src/machine.rs
+++ b/review/stand-ins/src/machine.rs
@@ -3,7 +3,7 @@
 //! never come up.
 use crate::coordinator::Entry;
 use crate::{line, record, Message};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
@@ -20,6 +20,8 @@
     is_draining: bool,
     /// Tasks that stand, by id, with the connection of their set-up.
     standing: BTreeMap<String, u64>,
+    /// Set-ups that were given up.
+    given_up: BTreeSet<String>,
     /// Open connections.
     writers: BTreeMap<u64, TcpStream>,
     last_connection: u64,
@@ -42,6 +44,8 @@
     zone: &'static str,
     listener: Arc<TcpListener>,
     state: Arc<Mutex<State>>,
+    /// Held by the offer that the machine looks at.
+    door: Arc<Mutex<()>>,
 }
 
 impl Machine {
@@ -49,7 +53,7 @@
     pub fn start(host: &str, zone: &'static str) -> Machine {
         let listener = Arc::new(TcpListener::bind("127.0.0.1:0").expect("the machine can listen"));
         let address = listener.local_addr().expect("an address");
-        let machine = Machine { host: host.to_owned(), address, zone, listener, state: Arc::default() };
+        let machine = Machine { host: host.to_owned(), address, zone, listener, state: Arc::default(), door: Arc::default() };
         let accepting = machine.clone();
         thread::spawn(move || loop {
             let Ok((stream, _)) = accepting.listener.accept() else { return };
@@ -145,32 +149,17 @@
             }
             "open" => {
                 self.state.lock().unwrap().offers.push((record::now_ms(), message.id.clone()));
-                thread::sleep(ADMIT);
+                let machine = self.clone();
+                thread::spawn(move || machine.admit(connection, message));
+            }
+            "close" => {
                 let mut state = self.state.lock().unwrap();
-                if state.has_vanished {
-                    return;
-                }
-                if state.is_draining {
-                    drop(state);
-                    let note = "{\"note\":\"not_here\"}";
-                    return self.send(connection, &line("close", &message.id, note, Some(34), None));
-                }
-                state.standing.insert(message.id.clone(), connection);
-                if let Some(life) = state.life {
-                    let (machine, id) = (self.clone(), message.id.clone());
-                    thread::spawn(move || {
-                        thread::sleep(life);
-                        if machine.holds(&id) {
-                            machine.end_task(&id, 16);
-                        }
-                    });
+                let stood = state.standing.remove(&message.id).is_some();
+                if !stood {
+                    // The set-up is given up; if it waits for its turn, it does not get one.
+                    state.given_up.insert(message.id.clone());
                 }
                 drop(state);
-                let text = format!("{} holds {}\r\n", self.host, message.id);
-                self.send(connection, &line("ready", &message.id, "{}", None, Some(&text)));
-            }
-            "close" => {
-                let stood = self.state.lock().unwrap().standing.remove(&message.id).is_some();
                 if stood {
                     record::add(&self.host, &format!("cuts task {}", message.id));
                     self.send(connection, &line("close", &message.id, "{}", Some(31), None));
@@ -180,6 +169,34 @@
         }
     }
 
+    /// Looks at one offer at a time and answers it.
+    fn admit(&self, connection: u64, message: Message) {
+        let _one_at_a_time = self.door.lock().unwrap();
+        thread::sleep(ADMIT);
+        let mut state = self.state.lock().unwrap();
+        if state.has_vanished || state.given_up.remove(&message.id) {
+            return;
+        }
+        if state.is_draining {
+            drop(state);
+            let note = "{\"note\":\"not_here\"}";
+            return self.send(connection, &line("close", &message.id, note, Some(34), None));
+        }
+        state.standing.insert(message.id.clone(), connection);
+        if let Some(life) = state.life {
+            let (machine, id) = (self.clone(), message.id.clone());
+            thread::spawn(move || {
+                thread::sleep(life);
+                if machine.holds(&id) {
+                    machine.end_task(&id, 16);
+                }
+            });
+        }
+        drop(state);
+        let text = format!("{} holds {}\r\n", self.host, message.id);
+        self.send(connection, &line("ready", &message.id, "{}", None, Some(&text)));
+    }
+
     /// Ends a standing task: its release goes on the connection of its set-up, else on any open
     /// one, and on the next connection opened as well.
     pub fn end_task(&self, id: &str, code: i64) -> f64 {
