--- a/review/stand-ins/src/bin/discovery_outage.rs
+++ b/review/stand-ins/src/bin/discovery_outage.rs
@@ -10,8 +10,9 @@
 
 fn main() {
     record::start();
-    let machines: Vec<Machine> =
-        (0..4).map(|n| Machine::start(&format!("s-{n}"), if n % 2 == 0 { "hall-a" } else { "hall-b" })).collect();
+    let machines: Vec<Machine> = (0..4)
+        .map(|n| Machine::start(&format!("s-{n}"), if n % 2 == 0 { "hall-a" } else { "hall-b" }))
+        .collect();
     machines.iter().for_each(|machine| machine.set_life(Duration::from_secs(4)));
     let entries: Vec<_> = machines.iter().map(|machine| machine.entry("in_service")).collect();
     let coordinator = Coordinator::start(&entries);
@@ -54,10 +55,18 @@
     for machine in &machines[..2] {
         for (at, id) in machine.offers() {
             if at > drained.unwrap() {
-                record::note(&format!("{} got {id} {:.0} ms after the outage began", machine.host, at - down.unwrap()));
+                record::note(&format!(
+                    "{} got {id} {:.0} ms after the outage began",
+                    machine.host,
+                    at - down.unwrap()
+                ));
             }
             if at > limit {
-                broken.push(format!("set-up {id} reached {} {:.0} ms after its drain counted as told", machine.host, at - told_ms));
+                broken.push(format!(
+                    "set-up {id} reached {} {:.0} ms after its drain counted as told",
+                    machine.host,
+                    at - told_ms
+                ));
             }
         }
     }
--- a/review/stand-ins/src/bin/drained_machine_vanishes.rs
+++ b/review/stand-ins/src/bin/drained_machine_vanishes.rs
@@ -45,7 +45,8 @@
     };
     sleep(Duration::from_millis(NOTICE_MS));
     coordinator.tell(false, &[holder.entry("terminated")]);
-    let release = owner.wait_for(Duration::from_secs(4), |message| message.id == id && message.kind == "close");
+    let release =
+        owner.wait_for(Duration::from_secs(4), |message| message.id == id && message.kind == "close");
     let broken = match &release {
         Some(release) if release.at_ms - ended_at_ms <= limit_ms => Vec::new(),
         Some(release) => {
--- a/review/stand-ins/src/bin/release_on_a_dead_connection.rs
+++ b/review/stand-ins/src/bin/release_on_a_dead_connection.rs
@@ -35,7 +35,8 @@
     let (first, second) = ("0000000000000101", "0000000000000102");
     let answer = owner.place(&Request::small(first, "00000000000000a1"));
     let holder = machines.iter().position(|machine| machine.holds(first));
-    let (Some("ready"), Some(holder)) = (answer.as_ref().map(|answer| answer.message.kind.as_str()), holder) else {
+    let (Some("ready"), Some(holder)) = (answer.as_ref().map(|answer| answer.message.kind.as_str()), holder)
+    else {
         could_not_run(Some(planner), "the task was not placed");
     };
     record::note(&format!("the first task stands on {}", machines[holder].host));
--- a/review/stand-ins/src/bin/release_to_a_stranger.rs
+++ b/review/stand-ins/src/bin/release_to_a_stranger.rs
@@ -54,7 +54,9 @@
     sleep(Duration::from_millis(500));
     placed &= place(&b, "0000000000000b02", "00000000000000b2", "dispatch");
     let holder = machines.iter().find(|machine| machine.holds(id));
-    let (true, Some(holder)) = (placed, holder) else { could_not_run(Some(planner), "a task was not placed") };
+    let (true, Some(holder)) = (placed, holder) else {
+        could_not_run(Some(planner), "a task was not placed")
+    };
     sleep(Duration::from_millis(500));
     let released_at_ms = holder.end_task(id, 16);
     sleep(WAIT);
--- a/review/stand-ins/src/front.rs
+++ b/review/stand-ins/src/front.rs
@@ -23,7 +23,9 @@
         let relays = front.relays.clone();
         thread::spawn(move || {
             for owner in listener.incoming().flatten() {
-                let (Ok(from), Ok(inner)) = (owner.peer_addr(), TcpStream::connect(planner)) else { continue };
+                let (Ok(from), Ok(inner)) = (owner.peer_addr(), TcpStream::connect(planner)) else {
+                    continue;
+                };
                 let number = {
                     let mut relays = relays.lock().unwrap();
                     relays.push((from, false));
@@ -46,7 +48,12 @@
 }
 
 /// Passes bytes on in both directions until either side ends or the relay is to be reset.
-fn relay(mut owner: TcpStream, mut planner: TcpStream, relays: &Mutex<Vec<(SocketAddr, bool)>>, number: usize) {
+fn relay(
+    mut owner: TcpStream,
+    mut planner: TcpStream,
+    relays: &Mutex<Vec<(SocketAddr, bool)>>,
+    number: usize,
+) {
     for stream in [&owner, &planner] {
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(Duration::from_millis(1)));
--- a/review/stand-ins/src/machine.rs
+++ b/review/stand-ins/src/machine.rs
@@ -53,7 +53,14 @@
     pub fn start(host: &str, zone: &'static str) -> Machine {
         let listener = Arc::new(TcpListener::bind("127.0.0.1:0").expect("the machine can listen"));
         let address = listener.local_addr().expect("an address");
-        let machine = Machine { host: host.to_owned(), address, zone, listener, state: Arc::default(), door: Arc::default() };
+        let machine = Machine {
+            host: host.to_owned(),
+            address,
+            zone,
+            listener,
+            state: Arc::default(),
+            door: Arc::default(),
+        };
         let accepting = machine.clone();
         thread::spawn(move || loop {
             let Ok((stream, _)) = accepting.listener.accept() else { return };
@@ -206,7 +213,11 @@
             let of_set_up = state.standing.remove(id).unwrap_or_default();
             state.repeats.push(release.clone());
             let any = state.writers.keys().next_back().copied();
-            if state.writers.contains_key(&of_set_up) { Some(of_set_up) } else { any }
+            if state.writers.contains_key(&of_set_up) {
+                Some(of_set_up)
+            } else {
+                any
+            }
         };
         record::add(&self.host, &format!("task {id} ends with cause {code}"));
         let at_ms = record::now_ms();
@@ -231,8 +242,14 @@
 
     /// Sends a note on what each standing task uses.
     fn tell_use(&self) {
-        let standing: Vec<(String, u64)> =
-            self.state.lock().unwrap().standing.iter().map(|(id, connection)| (id.clone(), *connection)).collect();
+        let standing: Vec<(String, u64)> = self
+            .state
+            .lock()
+            .unwrap()
+            .standing
+            .iter()
+            .map(|(id, connection)| (id.clone(), *connection))
+            .collect();
         for (id, connection) in standing {
             let note = "{\"note\":\"cores\",\"value\":\"0.5\"}";
             let open = self.state.lock().unwrap().writers.keys().next_back().copied();
--- a/review/stand-ins/src/owner.rs
+++ b/review/stand-ins/src/owner.rs
@@ -44,7 +44,18 @@
 impl<'a> Request<'a> {
     pub fn small(id: &'a str, key: &'a str) -> Request<'a> {
         let service = "00000000000000b1";
-        Request { id, key, class: "small-svc", tenant: "orders", idem: None, left_ms: 5_500, cores: "1", memory: "2", service, at: None }
+        Request {
+            id,
+            key,
+            class: "small-svc",
+            tenant: "orders",
+            idem: None,
+            left_ms: 5_500,
+            cores: "1",
+            memory: "2",
+            service,
+            at: None,
+        }
     }
 
     pub fn line(&self) -> String {
@@ -73,7 +84,8 @@
         let _ = stream.set_nodelay(true);
         record::add(name, &format!("connected from {}", stream.local_addr().ok()?));
         let inbox: Arc<(Mutex<Inbox>, Condvar)> = Arc::default();
-        let (reader, shared, who) = (BufReader::new(stream.try_clone().ok()?), inbox.clone(), name.to_owned());
+        let (reader, shared, who) =
+            (BufReader::new(stream.try_clone().ok()?), inbox.clone(), name.to_owned());
         thread::spawn(move || {
             for text in reader.lines() {
                 let Ok(text) = text else { break };
--- a/review/stand-ins/src/planner.rs
+++ b/review/stand-ins/src/planner.rs
@@ -106,7 +106,12 @@
             .stderr(log)
             .spawn()
             .expect("the planner starts");
-        record::add("planner", &format!("started as process {} at {}", child.id(), quote(&listen.to_string())));
+        // For `run.sh`, which ends the planner if this program is ended before it can.
+        let _ = std::fs::write(std::env::temp_dir().join("planner.pid"), child.id().to_string());
+        record::add(
+            "planner",
+            &format!("started as process {} at {}", child.id(), quote(&listen.to_string())),
+        );
         Planner { listen, config, child }
     }
 
