--- /dev/null
+++ b/cli/tests/node_silence.rs
@@ -0,0 +1,70 @@
+//! Runs `basaltpitch node` against machines whose connections die or that vanish. The clients of
+//! the tasks placed there must be notified of the end of each task in time.
+mod wire;
+use serde_json::json;
+use std::time::{Duration, Instant};
+use wire::machine::{Link, Machine};
+use wire::*;
+
+/// The platform's limit for the notice of an end of which no release could be sent, with its slack
+/// on sockets.
+const NOTICE_LIMIT: Duration = Duration::from_millis(8_050);
+
+/// Starts a planner of a deployment with this many planners and places a task on its machine.
+fn place_task(name: &str, planners: u32, machine: &Machine) -> (Node, Peer) {
+    let node = start_node_with(name, &free_address(), &[("a", &machine.address)], |configuration| {
+        configuration["settings"]["nInstances"] = json!(planners);
+    });
+    let mut client = Peer::connect(&node);
+    client.send_line(&request(&id(1), json!({})));
+    assert_eq!(client.next_of_kind("ready").unwrap()["sid"], id(1));
+    (node, client)
+}
+
+/// Waits for the release of a task and returns its cause and when it arrived.
+fn wait_for_release(client: &mut Peer, task: u64) -> (i64, Instant) {
+    loop {
+        let release = client.next_of_kind("close").expect("the planner keeps the client's connection");
+        if release["sid"] == id(task) {
+            return (release["code"].as_i64().unwrap(), Instant::now());
+        }
+    }
+}
+
+/// Breaks the machine's link under an unanswered request, ends the task that was placed before and
+/// checks that its client is notified in time.
+fn check_release_after_unanswered_request(name: &str, planners: u32, link: Link) {
+    let machine = Machine::start();
+    let (_node, mut client) = place_task(name, planners, &machine);
+    machine.ignore_requests();
+    client.send_line(&request(&id(2), json!({})));
+    machine.wait_for_request(2);
+    machine.break_links(link);
+    // The planner has replaced the link by now: the end is reported on the dead link alone.
+    std::thread::sleep(Duration::from_millis(3_700));
+    let ended_at = machine.end_task(1, 16);
+    let (code, released_at) = wait_for_release(&mut client, 1);
+    assert_eq!(code, 16);
+    assert!(released_at - ended_at <= NOTICE_LIMIT, "released after {:?}", released_at - ended_at);
+}
+
+/// Guards against this failure: an answer was lost and left a dead link. The planner opened a second
+/// link and kept the dead one, on which the machine then reported the end of another task.
+#[test]
+fn releases_a_task_whose_link_died_under_another_request() {
+    check_release_after_unanswered_request("dead-link", 2, Link::Dead);
+}
+
+/// Guards against the same failure where the machine does not notice that the planner closes the
+/// dead link: the end is repeated only on a link that is opened after it.
+#[test]
+fn releases_a_task_whose_machine_never_notices_that_its_link_died() {
+    check_release_after_unanswered_request("dead-link-for-good", 2, Link::DeadForGood);
+}
+
+/// Guards against the same failure in a deployment with so many planners that machines are not
+/// probed: the unanswered request alone shows that the link is dead.
+#[test]
+fn releases_a_task_whose_link_died_in_a_deployment_of_900_planners() {
+    check_release_after_unanswered_request("dead-link-900", 900, Link::DeadForGood);
+}
--- a/cli/tests/wire/mod.rs
+++ b/cli/tests/wire/mod.rs
@@ -14,6 +14,7 @@
 
 #[path = "../../../platform/tests/harness/mod.rs"]
 pub mod harness;
+pub mod machine;
 #[allow(unused_imports)]
 pub use harness::{configuration, entry, id, message, ready, request, update};
 
