--- a/cli/tests/node_silence.rs
+++ b/cli/tests/node_silence.rs
@@ -68,3 +68,36 @@
 fn releases_a_task_whose_link_died_in_a_deployment_of_900_planners() {
     check_release_after_unanswered_request("dead-link-900", 900, Link::DeadForGood);
 }
+
+/// Guards against this failure: nothing was asked on a quiet link of a planner that is one of many,
+/// so nobody noticed that the link had died, and the end that the machine reported there was lost.
+#[test]
+fn releases_a_task_whose_quiet_link_died() {
+    let machine = Machine::start();
+    let (_node, mut client) = place_task("quiet-link", 900, &machine);
+    machine.break_links(Link::DeadForGood);
+    let ended_at = machine.end_task(1, 16);
+    let (code, released_at) = wait_for_release(&mut client, 1);
+    assert_eq!(code, 16);
+    assert!(released_at - ended_at <= NOTICE_LIMIT, "released after {:?}", released_at - ended_at);
+}
+
+/// Guards against this failure: a machine that drains was never asked for a sign of life. When it
+/// vanished, the client of its task was notified only once the list showed the machine as gone.
+#[test]
+fn releases_a_task_of_a_draining_machine_that_vanishes() {
+    let machine = Machine::start();
+    let (coordinator, coordinator_address) = listener();
+    let node = start_node("drains", &coordinator_address, &[("a", &machine.address)]);
+    let (_, stream) = accept_call(&coordinator);
+    let mut client = Peer::connect(&node);
+    client.send_line(&request(&id(1), json!({})));
+    assert_eq!(client.next_of_kind("ready").unwrap()["sid"], id(1));
+    reply(&stream, &update(2, &[entry("a", &machine.address, "terminating", 0)]));
+    // The planner has applied the list once it follows the next index.
+    assert!(read_call(&stream).contains("follow=2&"));
+    let vanished_at = machine.vanish();
+    let (code, released_at) = wait_for_release(&mut client, 1);
+    assert_eq!(code, 41);
+    assert!(released_at - vanished_at <= NOTICE_LIMIT, "released after {:?}", released_at - vanished_at);
+}
