--- a/cli/tests/node_silence.rs
+++ b/cli/tests/node_silence.rs
@@ -101,3 +101,47 @@
     assert_eq!(code, 41);
     assert!(released_at - vanished_at <= NOTICE_LIMIT, "released after {:?}", released_at - vanished_at);
 }
+
+/// Breaks the machine's link, ends its task as the client and checks that the machine is told.
+fn check_end_at_machine(name: &str, planners: u32) {
+    let machine = Machine::start();
+    let (_node, mut client) = place_task(name, planners, &machine);
+    machine.break_links(Link::DeadForGood);
+    let ended_at = Instant::now();
+    client.send_line(&message("close", &id(1), json!({}), 16));
+    let told_after = machine.wait_until_ended(1) - ended_at;
+    assert!(told_after <= NOTICE_LIMIT, "the machine was told after {told_after:?}");
+}
+
+/// Guards against this failure: a client ended its task, and the planner's message to the machine
+/// was lost with a dead link. The task ran on for nobody.
+#[test]
+fn ends_a_task_on_a_machine_whose_link_died() {
+    check_end_at_machine("end-on-dead-link", 2);
+}
+
+/// Guards against the same failure in a deployment with so many planners that machines are not
+/// probed.
+#[test]
+fn ends_a_task_on_a_machine_whose_link_died_in_a_deployment_of_900_planners() {
+    check_end_at_machine("end-on-dead-link-900", 900);
+}
+
+/// Guards against the same failure at an attempt: the machine accepted it, but neither its answer
+/// nor the planner's withdrawal passed. The task ran beside its next attempt elsewhere.
+#[test]
+fn ends_an_attempt_on_a_machine_whose_answer_was_lost() {
+    let machine = Machine::start();
+    let (_node, mut client) = place_task("withdrawn", 2, &machine);
+    machine.break_link_at_next_request(Link::DeadForGood);
+    client.send_line(&request(&id(2), json!({"left": "2000"})));
+    machine.wait_for_request(2);
+    let withdrawn_at = loop {
+        let answer = client.next_of_kind("close").expect("the planner answers the request");
+        if answer["sid"] == id(2) {
+            break Instant::now();
+        }
+    };
+    let told_after = machine.wait_until_ended(2).saturating_duration_since(withdrawn_at);
+    assert!(told_after <= NOTICE_LIMIT, "the machine was told after {told_after:?}");
+}
--- a/cli/tests/wire/machine.rs
+++ b/cli/tests/wire/machine.rs
@@ -45,6 +45,8 @@
     received: Vec<Value>,
     /// Whether requests are left without an answer.
     ignores_requests: bool,
+    /// The state of a connection from the next request that it brings, which is accepted.
+    link_after_request: Option<Link>,
     has_vanished: bool,
 }
 
@@ -127,7 +129,12 @@
                 return self.send(connection, &message("probed", &id, json!({"load": "x0:8;x1:16"}), 1))
             }
             "open" if !self.state().ignores_requests => {
-                self.change(|state| _ = state.running.insert(id.clone(), connection));
+                self.change(|state| {
+                    state.running.insert(id.clone(), connection);
+                    if let Some(link) = state.link_after_request.take() {
+                        state.connections.get_mut(&connection).unwrap().link = link;
+                    }
+                });
                 self.send(connection, &ready(&id, "runs"));
             }
             "close" => {
@@ -156,14 +163,15 @@
         self.change(|state| state.ignores_requests = true);
     }
 
-    /// Returns whether a task runs on the machine.
-    pub fn runs(&self, task: u64) -> bool {
-        self.state().running.contains_key(&id(task))
+    /// Accepts the next request and breaks its connection before the answer passes.
+    pub fn break_link_at_next_request(&self, link: Link) {
+        self.change(|state| state.link_after_request = Some(link));
     }
 
-    /// Waits until a task no longer runs on the machine.
-    pub fn wait_until_ended(&self, task: u64) {
+    /// Waits until a task no longer runs on the machine and returns the time.
+    pub fn wait_until_ended(&self, task: u64) -> Instant {
         self.wait_for("the planner ends a task", |state| !state.running.contains_key(&id(task)));
+        Instant::now()
     }
 
     /// Waits until a request was received.
