--- a/cli/tests/node_silence.rs
+++ b/cli/tests/node_silence.rs
@@ -15,22 +15,35 @@
     let node = start_node_with(name, &free_address(), &[("a", &machine.address)], |configuration| {
         configuration["settings"]["nInstances"] = json!(planners);
     });
-    let mut client = Peer::connect(&node);
+    let client = connect_and_place(&node);
+    (node, client)
+}
+
+/// Connects to the planner as a client and places a task.
+fn connect_and_place(node: &Node) -> Peer {
+    let mut client = Peer::connect(node);
     client.send_line(&request(&id(1), json!({})));
     assert_eq!(client.next_of_kind("ready").unwrap()["sid"], id(1));
-    (node, client)
+    client
 }
 
-/// Waits for the release of a task and returns its cause and when it arrived.
-fn wait_for_release(client: &mut Peer, task: u64) -> (i64, Instant) {
+/// Waits for the `close` of a task or request and returns its cause and when it arrived.
+fn wait_for_close(client: &mut Peer, task: u64) -> (i64, Instant) {
     loop {
-        let release = client.next_of_kind("close").expect("the planner keeps the client's connection");
-        if release["sid"] == id(task) {
-            return (release["code"].as_i64().unwrap(), Instant::now());
+        let close = client.next_of_kind("close").expect("the planner keeps the client's connection");
+        if close["sid"] == id(task) {
+            return (close["code"].as_i64().unwrap(), Instant::now());
         }
     }
 }
 
+/// Checks that the task placed first is released with this cause, in time after its end.
+fn check_release(client: &mut Peer, cause: i64, ended_at: Instant) {
+    let (code, released_at) = wait_for_close(client, 1);
+    assert_eq!(code, cause);
+    assert!(released_at - ended_at <= NOTICE_LIMIT, "released after {:?}", released_at - ended_at);
+}
+
 /// Breaks the machine's link under an unanswered request, ends the task that was placed before and
 /// checks that its client is notified in time.
 fn check_release_after_unanswered_request(name: &str, planners: u32, link: Link) {
@@ -40,12 +53,10 @@
     client.send_line(&request(&id(2), json!({})));
     machine.wait_for_request(2);
     machine.break_links(link);
-    // The planner has replaced the link by now: the end is reported on the dead link alone.
+    // The planner has replaced the link by now. A machine that does not know reports on the dead one.
     std::thread::sleep(Duration::from_millis(3_700));
     let ended_at = machine.end_task(1, 16);
-    let (code, released_at) = wait_for_release(&mut client, 1);
-    assert_eq!(code, 16);
-    assert!(released_at - ended_at <= NOTICE_LIMIT, "released after {:?}", released_at - ended_at);
+    check_release(&mut client, 16, ended_at);
 }
 
 /// Guards against this failure: an answer was lost and left a dead link. The planner opened a second
@@ -77,9 +88,7 @@
     let (_node, mut client) = place_task("quiet-link", 900, &machine);
     machine.break_links(Link::DeadForGood);
     let ended_at = machine.end_task(1, 16);
-    let (code, released_at) = wait_for_release(&mut client, 1);
-    assert_eq!(code, 16);
-    assert!(released_at - ended_at <= NOTICE_LIMIT, "released after {:?}", released_at - ended_at);
+    check_release(&mut client, 16, ended_at);
 }
 
 /// Guards against this failure: a machine that drains was never asked for a sign of life. When it
@@ -90,16 +99,12 @@
     let (coordinator, coordinator_address) = listener();
     let node = start_node("drains", &coordinator_address, &[("a", &machine.address)]);
     let (_, stream) = accept_call(&coordinator);
-    let mut client = Peer::connect(&node);
-    client.send_line(&request(&id(1), json!({})));
-    assert_eq!(client.next_of_kind("ready").unwrap()["sid"], id(1));
+    let mut client = connect_and_place(&node);
     reply(&stream, &update(2, &[entry("a", &machine.address, "terminating", 0)]));
     // The planner has applied the list once it follows the next index.
     assert!(read_call(&stream).contains("follow=2&"));
     let vanished_at = machine.vanish();
-    let (code, released_at) = wait_for_release(&mut client, 1);
-    assert_eq!(code, 41);
-    assert!(released_at - vanished_at <= NOTICE_LIMIT, "released after {:?}", released_at - vanished_at);
+    check_release(&mut client, 41, vanished_at);
 }
 
 /// Breaks the machine's link, ends its task as the client and checks that the machine is told.
@@ -136,12 +141,7 @@
     machine.break_link_at_next_request(Link::DeadForGood);
     client.send_line(&request(&id(2), json!({"left": "2000"})));
     machine.wait_for_request(2);
-    let withdrawn_at = loop {
-        let answer = client.next_of_kind("close").expect("the planner answers the request");
-        if answer["sid"] == id(2) {
-            break Instant::now();
-        }
-    };
+    let (_, withdrawn_at) = wait_for_close(&mut client, 2);
     let told_after = machine.wait_until_ended(2).saturating_duration_since(withdrawn_at);
     assert!(told_after <= NOTICE_LIMIT, "the machine was told after {told_after:?}");
 }
