--- a/cli/tests/node_clients.rs
+++ b/cli/tests/node_clients.rs
@@ -5,6 +5,9 @@
 use std::net::TcpListener;
 use wire::*;
 
+/// Number of times that a task ends while its client disconnects.
+const ROUNDS: u64 = 200;
+
 /// A planner, the link to its machine, and two clients that connect from one address: the first of
 /// tenant `north` with task 1, the other of tenant `south` with task 2.
 struct Clients {
@@ -106,3 +109,18 @@
     clients.first_returns(5);
     clients.check_release();
 }
+
+/// A client's connection ends just before the planner writes the release of its task to it: the
+/// client gets the release when it comes back.
+#[test]
+fn releases_a_task_that_ends_as_its_client_disconnects() {
+    let mut clients = Clients::start("crossing");
+    for round in 0..ROUNDS {
+        let (ended, next) = (1 + 2 * round, 3 + 2 * round);
+        drop(clients.first.take());
+        clients.link.send_line(&message("close", &id(ended), json!({}), 16));
+        clients.first_returns(next);
+        let release = clients.first.as_mut().unwrap().next_line().unwrap();
+        assert_eq!((&release["msg"], &release["sid"]), (&json!("close"), &json!(id(ended))), "{round}");
+    }
+}
