--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod owner;
 pub mod planner;
 pub mod record;
+pub mod relay;
 pub mod settings;
 pub mod verdict;
--- a/review/stand-ins-2/src/planner.rs
+++ b/review/stand-ins-2/src/planner.rs
@@ -81,6 +81,11 @@
         sent.is_ok() && BufReader::new(stream).read_line(&mut line).is_ok() && line.contains("probed")
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
