--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -2,8 +2,10 @@
 use crate::json::{self, Json};
 use crate::record::Record;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 /// A line that the planner sent, and when it came; `None` is the end of the connection.
@@ -12,10 +14,18 @@
 pub struct Client {
     name: String,
     stream: TcpStream,
+    reader: Option<JoinHandle<()>>,
     received: Receiver<Received>,
     record: Record,
 }
 
+extern "C" {
+    fn setsockopt(socket: i32, level: i32, option: i32, value: *const [i32; 2], length: u32) -> i32;
+}
+
+const SOL_SOCKET: i32 = 1;
+const SO_LINGER: i32 = 13;
+
 impl Client {
     /// Connects to a planner.
     pub fn connect(record: &Record, name: &str, address: SocketAddr) -> Client {
@@ -23,7 +33,7 @@
         let _ = stream.set_nodelay(true);
         let (sender, received) = channel();
         let (reader, own, log) = (stream.try_clone().unwrap(), name.to_owned(), record.clone());
-        std::thread::spawn(move || {
+        let reader = std::thread::spawn(move || {
             for line in BufReader::new(reader).lines().map_while(Result::ok) {
                 log.note(&own, &format!("<- {line}"));
                 let _ = sender.send((Instant::now(), json::parse(&line)));
@@ -31,7 +41,7 @@
             log.note(&own, "<- end of the connection");
             let _ = sender.send((Instant::now(), None));
         });
-        Client { name: name.to_owned(), stream, received, record: record.clone() }
+        Client { name: name.to_owned(), stream, reader: Some(reader), received, record: record.clone() }
     }
 
     /// Sends a line.
@@ -40,6 +50,17 @@
         let _ = self.stream.write_all(format!("{line}\n").as_bytes());
     }
 
+    /// Resets the connection, as a network does.
+    pub fn reset(mut self) {
+        self.record.note(&self.name, "the connection is reset");
+        // SAFETY: the option takes two integers (on, after 0 s); the socket is open.
+        unsafe { setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
+        let _ = self.stream.shutdown(Shutdown::Read);
+        if let Some(reader) = self.reader.take() {
+            let _ = reader.join();
+        }
+    }
+
     /// Returns the next line, or `None` if none comes until the time.
     pub fn next(&self, until: Instant) -> Option<Received> {
         let left = until.saturating_duration_since(Instant::now());
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod record;
 pub mod relay;
 pub mod settings;
+pub mod site;
 pub mod verdict;
