--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod client;
 pub mod coordinator;
 pub mod json;
+pub mod lossy_relay;
 pub mod machine;
 pub mod owner;
 pub mod planner;
--- a/review/stand-ins-2/src/machine.rs
+++ b/review/stand-ins-2/src/machine.rs
@@ -121,11 +121,26 @@
         health: &str,
         born_ms: u64,
         free: (f64, f64),
+    ) -> String {
+        self.entry_at(self.address, zone, kind, block, health, born_ms, free)
+    }
+
+    /// Returns the machine's entry in the list, with the address of a relay in front of it.
+    #[allow(clippy::too_many_arguments)]
+    pub fn entry_at(
+        &self,
+        address: SocketAddr,
+        zone: &str,
+        kind: &str,
+        block: u32,
+        health: &str,
+        born_ms: u64,
+        free: (f64, f64),
     ) -> String {
         format!(
             "{{\"host\":\"{}\",\"dial\":\"{}\",\"site\":\"{zone}\",\"class\":\"{kind}\",\"block\":{block},\
              \"health\":\"{health}\",\"share\":1,\"born_ms\":{born_ms},\"left_over\":[{},{}]}}",
-            self.name, self.address, free.0, free.1
+            self.name, address, free.0, free.1
         )
     }
 
