--- a/review/stand-ins-2/src/planner.rs
+++ b/review/stand-ins-2/src/planner.rs
@@ -1,14 +1,19 @@
 //! The planner under test: started with the command `run` of the deploy file, as the platform does.
 use crate::record::Record;
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 
@@ -48,7 +53,16 @@
         std::fs::write(&file, configuration).unwrap();
         let stderr =
             log.and_then(|log| std::fs::File::create(log).ok()).map_or_else(Stdio::null, Stdio::from);
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // SAFETY: the call is made between fork and exec and takes two integers.
+        unsafe {
+            command.pre_exec(|| {
+                // The planner ends with the case, however the case ends.
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            })
+        };
+        let child = command
             .args(["-c", &run_command()])
             .env("PROXY_CONFIG", &file)
             .env("PROXY_NAME", name)
--- a/review/stand-ins-2/src/verdict.rs
+++ b/review/stand-ins-2/src/verdict.rs
@@ -17,6 +17,12 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&folder).expect("record.txt can be written");
     record.note("case", if trouble { "with the disruption" } else { "without the disruption" });
+    let watched = record.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(LIMIT);
+        watched.note("case", "could not run: the time is up");
+        std::process::exit(2)
+    });
     let result = std::panic::catch_unwind(|| case(&record, trouble, &folder));
     let verdict = result.unwrap_or_else(|_| Verdict::CouldNotRun("the case stopped with an error".into()));
     let (code, text) = match verdict {
