--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -1,9 +1,9 @@
 //! A client's connection to a planner.
 use crate::json::{self, Json};
+use crate::machine::reset_on_close;
 use crate::record::Record;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::os::fd::AsRawFd;
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -19,13 +19,6 @@
     record: Record,
 }
 
-extern "C" {
-    fn setsockopt(socket: i32, level: i32, option: i32, value: *const [i32; 2], length: u32) -> i32;
-}
-
-const SOL_SOCKET: i32 = 1;
-const SO_LINGER: i32 = 13;
-
 impl Client {
     /// Connects to a planner.
     pub fn connect(record: &Record, name: &str, address: SocketAddr) -> Client {
@@ -53,8 +46,7 @@
     /// Resets the connection, as a network does.
     pub fn reset(mut self) {
         self.record.note(&self.name, "the connection is reset");
-        // SAFETY: the option takes two integers (on, after 0 s); the socket is open.
-        unsafe { setsockopt(self.stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
+        reset_on_close(&self.stream);
         let _ = self.stream.shutdown(Shutdown::Read);
         if let Some(reader) = self.reader.take() {
             let _ = reader.join();
--- a/review/stand-ins-2/src/machine.rs
+++ b/review/stand-ins-2/src/machine.rs
@@ -12,6 +12,16 @@
 
 extern "C" {
     fn listen(descriptor: i32, backlog: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, option: i32, value: *const [i32; 2], length: u32) -> i32;
+}
+
+const SOL_SOCKET: i32 = 1;
+const SO_LINGER: i32 = 13;
+
+/// Lets the connection be reset once the last handle to it is closed.
+pub fn reset_on_close(stream: &TcpStream) {
+    // SAFETY: the option takes two integers (on, after 0 s); the socket is open.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
 }
 
 /// How a machine treats a task.
@@ -167,6 +177,31 @@
         self.shared.record.note(&self.name, "cut off: connections stay open and silent, none comes up");
     }
 
+    /// The machine vanishes: its process dies with all its tasks, and its connections stay silent.
+    pub fn vanish(&self) {
+        self.cut();
+        let mut state = self.shared.lock();
+        for (id, task) in std::mem::take(&mut state.tasks) {
+            if task.phase == Phase::Running {
+                self.shared.record.note(&self.name, &format!("task {id} is over: lost with the machine"));
+                state.ends.push(End { id, at: Instant::now(), why: "lost with the machine" });
+            }
+        }
+        state.repeats.clear();
+    }
+
+    /// The machine comes back with nothing: what is left of its connections is reset.
+    pub fn return_cold(&self) {
+        let mut state = self.shared.lock();
+        self.shared.record.note(&self.name, "is back, cold; its old connections are reset");
+        for (_, connection) in std::mem::take(&mut state.connections) {
+            reset_on_close(&connection.stream);
+            let _ = connection.stream.shutdown(Shutdown::Read);
+        }
+        drop(state);
+        self.heal();
+    }
+
     /// Ends the cut.
     pub fn heal(&self) {
         let mut state = self.shared.lock();
--- a/review/stand-ins-2/src/site.rs
+++ b/review/stand-ins-2/src/site.rs
@@ -9,7 +9,7 @@
 pub struct Site {
     pub planner: Planner,
     pub listen: SocketAddr,
-    _coordinator: Coordinator,
+    pub coordinator: Coordinator,
 }
 
 impl Site {
@@ -30,7 +30,7 @@
         let log = std::env::var("PLANNER_LOG").ok().map(|_| folder.join("planner.log"));
         let planner =
             Planner::start(record, "planner-a", listen, &configuration.configuration(), log.as_ref());
-        Site { planner, listen, _coordinator: coordinator }
+        Site { planner, listen, coordinator }
     }
 }
 
