--- a/cli/tests/node_clients.rs
+++ b/cli/tests/node_clients.rs
@@ -124,3 +124,17 @@
         assert_eq!((&release["msg"], &release["sid"]), (&json!("close"), &json!(id(ended))), "{round}");
     }
 }
+
+/// Guards against this failure: a client had come back after a reset; the release of its task went
+/// to another client of the same tenant, which connected and placed a task later.
+#[test]
+fn releases_a_task_to_the_first_of_two_clients_of_a_tenant() {
+    let mut clients = Clients::start("one-tenant");
+    clients.reset_first();
+    clients.first_returns(4);
+    clients.other = Peer::connect(&clients.node);
+    Clients::place(&mut clients.link, &mut clients.other, 5, "north");
+    clients.end_task();
+    clients.check_release();
+    clients.check_nothing_sent_to_other();
+}
