--- a/cli/tests/node_silence.rs
+++ b/cli/tests/node_silence.rs
@@ -145,3 +145,36 @@
     let told_after = machine.wait_until_ended(2).saturating_duration_since(withdrawn_at);
     assert!(told_after <= NOTICE_LIMIT, "the machine was told after {told_after:?}");
 }
+
+/// Spoils an answer on the machine's link, ends the task that was placed before and checks that its
+/// client is notified in time.
+fn check_release_after_spoilt_answer(name: &str, answer: &'static [u8]) {
+    let machine = Machine::start();
+    let (_node, mut client) = place_task(name, 2, &machine);
+    machine.spoil_next_answer(answer);
+    client.send_line(&request(&id(2), json!({})));
+    machine.wait_for_request(2);
+    // The planner has replaced the link by now.
+    std::thread::sleep(Duration::from_millis(6_000));
+    let ended_at = machine.end_task(1, 16);
+    check_release(&mut client, 16, ended_at);
+}
+
+/// Guards against this failure: an answer stopped short and the planner closed its link, which the
+/// machine did not notice. It reported the end of another task there, and its client was not told.
+#[test]
+fn releases_a_task_whose_link_was_given_up_for_an_incomplete_line() {
+    check_release_after_spoilt_answer("half-answer", b"{\"msg\":\"ready\",\"sid\":\"00");
+}
+
+/// Guards against the same failure after an answer that is not JSON.
+#[test]
+fn releases_a_task_whose_link_was_given_up_for_an_invalid_line() {
+    check_release_after_spoilt_answer("invalid-answer", b"ready\n");
+}
+
+/// Guards against the same failure after a line that is not text.
+#[test]
+fn releases_a_task_whose_link_was_given_up_for_an_unreadable_line() {
+    check_release_after_spoilt_answer("unreadable-answer", b"\xff\n");
+}
--- a/cli/tests/wire/machine.rs
+++ b/cli/tests/wire/machine.rs
@@ -47,6 +47,9 @@
     ignores_requests: bool,
     /// The state of a connection from the next request that it brings, which is accepted.
     link_after_request: Option<Link>,
+    /// The bytes to send in place of the answer to the next request; the connection is dead after
+    /// them, and the machine never notices.
+    spoilt_answer: Option<&'static [u8]>,
     has_vanished: bool,
 }
 
@@ -130,6 +133,11 @@
             }
             "open" if !self.state().ignores_requests => {
                 self.change(|state| {
+                    if let Some(answer) = state.spoilt_answer.take() {
+                        let connection = state.connections.get_mut(&connection).unwrap();
+                        (&connection.stream).write_all(answer).unwrap();
+                        connection.link = Link::DeadForGood;
+                    }
                     state.running.insert(id.clone(), connection);
                     if let Some(link) = state.link_after_request.take() {
                         state.connections.get_mut(&connection).unwrap().link = link;
@@ -168,6 +176,12 @@
         self.change(|state| state.link_after_request = Some(link));
     }
 
+    /// Sends these bytes in place of the answer to the next request, and nothing more on that
+    /// connection.
+    pub fn spoil_next_answer(&self, answer: &'static [u8]) {
+        self.change(|state| state.spoilt_answer = Some(answer));
+    }
+
     /// Waits until a task no longer runs on the machine and returns the time.
     pub fn wait_until_ended(&self, task: u64) -> Instant {
         self.wait_for("the planner ends a task", |state| !state.running.contains_key(&id(task)));
