--- a/cli/tests/wire/mod.rs
+++ b/cli/tests/wire/mod.rs
@@ -172,6 +172,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Returns the most memory that the process has held so far (bytes).
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse::<u64>().unwrap() * 1024
+    }
+
     /// Waits for the process to exit and returns whether its exit code was 0.
     pub fn exits_successfully(&mut self) -> bool {
         let until = Instant::now() + TIMEOUT;
