--- a/cli/tests/node_departures.rs
+++ b/cli/tests/node_departures.rs
@@ -187,3 +187,38 @@
         seen.len()
     );
 }
+
+/// A machine dies and another one comes up at its address before the list says so. Guards against
+/// this failure: a task that was placed after that ran at the new machine and counted as lost with the
+/// old one; its client was told so and placed it again, and it ran twice.
+#[test]
+fn ends_tasks_taken_by_another_machine_at_the_address_of_one_that_is_gone() {
+    let (coordinator, coordinator_address) = listener();
+    let (machine, address) = listener();
+    let node = start_node_with("reused", &coordinator_address, &[("a", &address)], disable_probes);
+    let (_, stream) = accept_call(&coordinator);
+    let mut client = Peer::connect(&node);
+    client.send_line(&request(&id(1), json!({})));
+    let mut of_old = Peer::accept(&machine);
+    assert_eq!(of_old.next_of_kind("open").unwrap()["sid"], id(1));
+    of_old.send_line(&ready(&id(1), "runs at the old machine"));
+    client.next_of_kind("ready").unwrap();
+    of_old.reset();
+    let mut of_new = Peer::accept(&machine);
+    client.send_line(&request(&id(2), json!({})));
+    assert_eq!(of_new.next_of_kind("open").unwrap()["sid"], id(2));
+    of_new.send_line(&ready(&id(2), "runs at the new machine"));
+    client.next_of_kind("ready").unwrap();
+    let hosts = [entry("a", &address, "terminated", 0), entry("b", &address, "in_service", 0)];
+    reply(&stream, &update(2, &hosts));
+    let lost = [client.next_of_kind("close").unwrap(), client.next_of_kind("close").unwrap()];
+    assert_eq!(lost.map(|line| line["sid"].clone()), [id(1), id(2)]);
+    let mut ended = Vec::new();
+    while let Some(close) = of_new.next_of_kind("close") {
+        ended.push(close["sid"].as_str().unwrap().to_owned());
+        if ended.contains(&id(2)) {
+            return;
+        }
+    }
+    panic!("the new machine was told to end {ended:?}; expected also {}", id(2));
+}
