Bound the memory of incomplete frames before and after the hello

What callers saw: 300 connections to `serve` that stopped after 0.9 MB of a frame of 1 MB took it to 280 MB. Cause: a peer may take 2 s for its hello and could announce 1 MB until then; after it nothing counted what all links hold of incomplete frames. Change: 4 KB until the hello; beyond 16 MB in all, a link with 64 KB or more of an incomplete frame is closed. Why it works: what a link may hold before it is known is small, and the rest has a total. The expected text for a peer without hello names 4,096 bytes, where it named 1,048,576; the old limit is checked in a new case after the hello.

--- a/agent/src/session.rs
+++ b/agent/src/session.rs
@@ -12,6 +12,7 @@
 use crate::{MAX_FRAME_BYTES, PROTOCOL_VERSION};
 use bytes::{Buf, BytesMut};
 use prost::Message;
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio_util::codec::{Decoder, LengthDelimitedCodec};
@@ -28,6 +29,13 @@
 pub const MAX_QUEUED_BYTES: usize = 4 << 20;
 /// Maximum credit of a peer in bytes; what is granted beyond it is ignored.
 const MAX_CREDIT_BYTES: u64 = 16 * CREDIT_WINDOW_BYTES;
+/// Maximum bytes of a frame from a peer that has not sent its hello.
+const MAX_HELLO_BYTES: usize = 4096;
+/// Maximum bytes of the incomplete frames of all links of a process together. Beyond it, a link with a
+/// large one is closed.
+const MAX_INCOMPLETE_BYTES: usize = 16 << 20;
+/// Bytes of an incomplete frame from which on it counts as large.
+const LARGE_INCOMPLETE_BYTES: usize = 64 << 10;
 /// Maximum bytes of a name or login in a hello.
 const MAX_NAME_BYTES: usize = 200;
 /// Bytes of the length prefix of a frame.
@@ -56,11 +64,17 @@
     pub heartbeat_us: i64,
     /// Traffic counters to which the links add.
     pub traffic: Rc<Traffic>,
+    /// Bytes of incomplete frames that the links hold.
+    pub incomplete_bytes: Rc<Cell<usize>>,
 }
 
 impl Default for LinkConfig {
     fn default() -> Self {
-        LinkConfig { heartbeat_us: DEFAULT_HEARTBEAT_US, traffic: Rc::default() }
+        LinkConfig {
+            heartbeat_us: DEFAULT_HEARTBEAT_US,
+            traffic: Rc::default(),
+            incomplete_bytes: Rc::default(),
+        }
     }
 }
 
@@ -90,6 +104,8 @@
     peer: Option<PeerIdentity>,
     codec: LengthDelimitedCodec,
     input: BytesMut,
+    /// Bytes of `input` that are counted in the configuration's `incomplete_bytes`.
+    counted_input: usize,
     output: BytesMut,
     /// Events not yet taken by the caller, each with the size of its frame in bytes, or 0.
     events: VecDeque<(SessionEvent, u64)>,
@@ -137,9 +153,10 @@
     /// Returns the session of one of the links of a process, with its hello in the output.
     pub fn with_config(config: LinkConfig, identity: PeerIdentity, now: i64) -> Self {
         let mut session = Session {
-            codec: LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec(),
+            codec: LengthDelimitedCodec::builder().max_frame_length(MAX_HELLO_BYTES).new_codec(),
             peer: None,
             input: BytesMut::new(),
+            counted_input: 0,
             output: BytesMut::new(),
             events: VecDeque::new(),
             health: HealthMonitor::new(now, DEFAULT_HEARTBEAT_US),
@@ -186,6 +203,19 @@
             return;
         }
         self.input.extend_from_slice(bytes);
+        self.decode_frames(now);
+        self.count_incomplete(self.input.len());
+        let total = self.config.incomplete_bytes.get();
+        if total > MAX_INCOMPLETE_BYTES && self.input.len() >= LARGE_INCOMPLETE_BYTES {
+            self.refuse(&format!(
+                "{} bytes of an incomplete frame while all peers' take {total}; expected {MAX_INCOMPLETE_BYTES} at most",
+                self.input.len()
+            ));
+        }
+    }
+
+    /// Handles the complete frames of the input.
+    fn decode_frames(&mut self, now: i64) {
         while !self.closed {
             match self.codec.decode(&mut self.input) {
                 Ok(Some(frame)) => match Frame::decode(&frame[..]) {
@@ -206,12 +236,20 @@
                 },
                 Ok(None) => return,
                 Err(_) => self.refuse(&format!(
-                    "a frame of over {MAX_FRAME_BYTES} bytes was announced; expected fewer"
+                    "a frame of over {} bytes was announced; expected fewer",
+                    self.codec.max_frame_length()
                 )),
             }
         }
     }
 
+    /// Counts this many bytes of an incomplete frame for this session.
+    fn count_incomplete(&mut self, bytes: usize) {
+        let others = self.config.incomplete_bytes.get() - self.counted_input;
+        self.config.incomplete_bytes.set(others + bytes);
+        self.counted_input = bytes;
+    }
+
     fn on_frame(&mut self, now: i64, body: Body, size: u64) {
         self.health.record_frame(now, matches!(body, Body::Heartbeat(_)));
         match (body, self.peer.is_some()) {
@@ -273,6 +311,7 @@
         let peer =
             PeerIdentity { role, name: hello.name, epoch: hello.epoch, link: hello.link, login: hello.login };
         self.peer = Some(peer.clone());
+        self.codec.set_max_frame_length(MAX_FRAME_BYTES);
         self.events.push_back((SessionEvent::Up(peer), 0));
         self.send_queued();
     }
@@ -425,6 +464,8 @@
     fn close(&mut self, why: String) {
         if !self.closed {
             self.closed = true;
+            self.input = BytesMut::new();
+            self.count_incomplete(0);
             self.events.push_back((SessionEvent::Closed(why), 0));
         }
     }
@@ -440,3 +481,9 @@
         encoded.chain(self.queued.iter().filter_map(|(_, mark)| *mark)).collect()
     }
 }
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.count_incomplete(0);
+    }
+}
--- a/agent/tests/session.rs
+++ b/agent/tests/session.rs
@@ -2,7 +2,8 @@
 //! rejects. The clock is simulated.
 use basaltpitch_agent::link_health::LinkHealth;
 use basaltpitch_agent::session::{
-    PeerIdentity, Session, SessionEvent, CREDIT_WINDOW_BYTES, DEFAULT_HEARTBEAT_US, MAX_QUEUED_BYTES,
+    LinkConfig, PeerIdentity, Session, SessionEvent, CREDIT_WINDOW_BYTES, DEFAULT_HEARTBEAT_US,
+    MAX_QUEUED_BYTES,
 };
 use basaltpitch_agent::wire::{Body, Frame, Heartbeat, Hello, Probe, Role, Told};
 use proptest::prelude::*;
@@ -114,10 +115,14 @@
 #[test]
 fn rejects_invalid_frames_with_found_and_expected_values() {
     let valid_hello = hello(1, Role::Machine as i32, "m");
-    let cases: [(&[&[u8]], &str); 8] = [
+    let cases: [(&[&[u8]], &str); 9] = [
         (
             &[b"GET / HTTP/1.1\r\n\r\n"],
-            "a peer without hello: a frame of over 1048576 bytes was announced; expected fewer",
+            "a peer without hello: a frame of over 4096 bytes was announced; expected fewer",
+        ),
+        (
+            &[&valid_hello, b"GET / HTTP/1.1\r\n\r\n"],
+            "m: a frame of over 1048576 bytes was announced; expected fewer",
         ),
         (&[&[0, 0, 0, 3, 9, 9, 9]], "that are no frame"),
         (&[&hello(2, Role::Machine as i32, "m")], "hello: version 2; expected 1"),
@@ -228,3 +233,50 @@
         "{received:?}"
     );
 }
+
+/// Bytes of an incomplete frame of nearly the maximum size.
+const INCOMPLETE_BYTES: usize = 900 * 1024;
+/// Number of peers that each leave such a frame.
+const PEERS: usize = 300;
+/// Limit of the memory of a process (bytes).
+const MEMORY_BYTES: usize = 64 << 20;
+
+/// Guards against this failure: hundreds of clients stopped half way through a large frame, and the
+/// process passed its memory limit. Before the hello a large frame is refused at its length.
+#[test]
+fn refuses_a_large_frame_before_the_hello() {
+    let mut session = Session::new(identity(Role::Planner, "p"), 0);
+    session.receive(0, &(INCOMPLETE_BYTES as u32).to_be_bytes());
+    assert!(session.is_closed());
+    assert_eq!(
+        close_reason(&[&(INCOMPLETE_BYTES as u32).to_be_bytes()]),
+        "a peer without hello: a frame of over 4096 bytes was announced; expected fewer"
+    );
+}
+
+/// Guards against the same failure after the hello: what all links hold of incomplete frames is
+/// bounded, and a peer with a small one is served on.
+#[test]
+fn bounds_the_incomplete_frames_of_all_links() {
+    let config = LinkConfig::default();
+    let open = || {
+        let mut session = Session::with_config(config.clone(), identity(Role::Planner, "p"), 0);
+        session.receive(0, &hello(1, Role::Owner as i32, "c"));
+        session
+    };
+    let mut small = open();
+    let heartbeat = encoded_frame(Body::Heartbeat(Heartbeat { seq: 1, seen: 0 }));
+    let (start, rest) = heartbeat.split_at(3);
+    small.receive(0, start);
+    let mut peers: Vec<Session> = (0..PEERS).map(|_| open()).collect();
+    for peer in &mut peers {
+        peer.receive(0, &(INCOMPLETE_BYTES as u32 + 1).to_be_bytes());
+        peer.receive(0, &vec![0; INCOMPLETE_BYTES]);
+    }
+    let kept = peers.iter().filter(|peer| !peer.is_closed()).count() * INCOMPLETE_BYTES;
+    assert!(kept <= MEMORY_BYTES / 2, "{kept} bytes are kept");
+    small.receive(0, rest);
+    assert!(!small.is_closed());
+    drop((peers, small));
+    assert_eq!(config.incomplete_bytes.get(), 0, "a session that is dropped holds nothing");
+}
